--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -381,8 +381,11 @@
         let gone = std::mem::take(&mut machine.tasks);
         machine.idle_since = now;
         for ((task, _), placement) in gone {
-            // A start that was only decided never left, but its place is new now.
-            self.ended(id, &task, &placement, None, now);
+            // One that exited was counted then. Counting it again would free a
+            // task that runs elsewhere by now, and it would be started twice.
+            if !placement.exited() {
+                self.ended(id, &task, &placement, None, now);
+            }
         }
     }
 
@@ -523,22 +526,23 @@
         self.queue.dirty = true;
         if why == Some(Why::Done) {
             if !placement.foreign {
-                self.release_slot(task, placement);
+                self.release_slot(id, task, placement);
             }
             self.finish(task, now);
         } else if !placement.foreign {
-            self.release_slot(task, placement);
+            self.release_slot(id, task, placement);
             self.failed(id, task, why, now);
         }
         self.requeue();
     }
 
-    fn release_slot(&mut self, task: &TaskId, placement: &Placement) {
+    /// The task waits again, provided that it is on this machine and no other.
+    fn release_slot(&mut self, id: &MachineId, task: &TaskId, placement: &Placement) {
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
         let slot = &mut job.slots[task.index as usize];
-        if matches!(slot, Slot::On(_)) {
+        if matches!(slot, Slot::On(machine) if machine == id) {
             *slot = Slot::Waiting;
             job.placed -= 1;
             job.waiting.push(task.index);
@@ -632,15 +636,15 @@
                     return true;
                 }
                 if p.phase == Phase::Decided {
-                    unsent.push((task.clone(), p.clone()));
+                    unsent.push((machine.id.clone(), task.clone(), p.clone()));
                     return false;
                 }
                 p.stop.get_or_insert(Stop { grace, at: now });
                 true
             });
         }
-        for (task, placement) in unsent {
-            self.release_slot(&task, &placement);
+        for (machine, task, placement) in unsent {
+            self.release_slot(&machine, &task, &placement);
         }
     }
 
@@ -662,7 +666,7 @@
         };
         if placement.phase == Phase::Decided {
             let placement = machine.tasks.remove(key).expect("just seen");
-            self.release_slot(&key.0, &placement);
+            self.release_slot(id, &key.0, &placement);
             self.requeue();
         } else if placement.stop.is_none() {
             placement.stop = Some(Stop { grace, at: now });
