Send commands straight to workers, relay reports of workers cut off from the leader

Cause of late starts: commands waited for the next report, half an interval on average; workers that could not reach the leader ran into the end of their lease.

--- a/src/core/front.rs
+++ b/src/core/front.rs
@@ -226,10 +226,10 @@
     }
 
     fn counts(&self, id: &JobId) -> (u32, u32) {
-        self.leader
-            .as_ref()
-            .and_then(|leader| leader.job_counts(id))
-            .unwrap_or((0, 0))
+        match &self.leader {
+            Some(leader) => leader.job_counts(id).unwrap_or((0, 0)),
+            None => self.relays.counts(id),
+        }
     }
 
     pub(super) fn cancelled(&mut self, request: RequestId, id: JobId, reply: StateReply) {
--- a/src/core/job.rs
+++ b/src/core/job.rs
@@ -29,7 +29,7 @@
 }
 
 /// One task of a job.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct TaskId {
     pub job: JobId,
     pub index: u32,
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -13,7 +13,7 @@
     fleet::Fleet,
     job::{JobId, JobSpec, Kind, TaskId, TaskSet},
     machine::{
-        Command, Machine, MachineId, MachineType, Phase, Placement, ReportedTask, RosterRecord,
+        Command, DirectReply, Machine, MachineId, MachineType, Phase, Placement, RosterRecord,
         Standing, Stop, TaskPhase, Why, WorkerReport,
     },
     mirror::LiveJob,
@@ -142,6 +142,16 @@
     pub resolve_by: Duration,
 }
 
+/// Commands for one worker, to be sent straight to it.
+#[derive(Debug, Clone)]
+pub struct Direct {
+    pub machine: MachineId,
+    pub addr: std::net::SocketAddr,
+    pub token: u64,
+    pub session: u64,
+    pub commands: Vec<Command>,
+}
+
 /// Counters that the log shows now and then.
 #[derive(Debug, Default, Clone, Copy)]
 pub struct Counts {
@@ -224,7 +234,9 @@
             .find(|t| t.name == machine_type)
             .map(|t| t.size)
             .unwrap_or_default();
-        Machine::new(id, machine_type, zone, spot, size, now)
+        let mut machine = Machine::new(id, machine_type, zone, spot, size, now);
+        machine.token = self.token;
+        machine
     }
 
     pub fn meet(
@@ -271,10 +283,7 @@
                     return true;
                 }
                 placement.foreign = true;
-                placement.stop = Some(Stop {
-                    grace: Duration::ZERO,
-                    at: now,
-                });
+                placement.stop = Some(Stop::new(Duration::ZERO, now));
                 placement.phase != Phase::Decided
             });
         }
@@ -320,7 +329,7 @@
     }
 
     /// Takes in a report and says what to answer, or none where it came too late.
-    pub fn report(&mut self, report: &WorkerReport, now: Duration) -> Option<Vec<Command>> {
+    pub fn report(&mut self, report: &WorkerReport, now: Duration) -> Option<(u64, Vec<Command>)> {
         let id = report.machine.clone();
         let token = self.token;
         let machine = self.meet(&id, &report.machine_type, &report.zone, report.spot, now);
@@ -337,6 +346,7 @@
         if new_session {
             machine.session = report.session;
             machine.report_seq = 0;
+            machine.content_seq = 0;
         }
         let was_up = machine.standing == Standing::Up && machine.fenced;
         machine.addr = Some(report.addr);
@@ -364,13 +374,102 @@
         if new_session {
             self.session_over(&id, now);
         }
-        self.take_in(&id, report.seq, &report.tasks, now);
         let machine = self.machines.get_mut(&id)?;
         machine.report_seq = report.seq;
+        // A direct command's answer may have brought newer news already.
+        if report.seq > machine.content_seq {
+            machine.content_seq = report.seq;
+            self.take_in(&id, report, true, now);
+        }
         if now_up && !was_up {
             self.requeue();
         }
-        Some(self.commands(&id, report.seq))
+        let machine = self.machines.get_mut(&id)?;
+        // While a direct command is under way nothing else is ordered, so that
+        // the two can't be executed in the wrong order.
+        let commands = match machine.direct {
+            true => Vec::new(),
+            false => self.commands(&id, Some(report.seq)),
+        };
+        Some((self.machines[&id].token, commands))
+    }
+
+    /// Commands that need not wait for the next report. A worker that does not
+    /// know this leader's token yet gets it at once, and its tasks become known.
+    pub fn direct_commands(&mut self, now: Duration) -> Option<Direct> {
+        let due = |m: &Machine| {
+            let silent = m
+                .heard_at
+                .is_none_or(|at| now > at + self.config.report * 2);
+            let urgent = m.tasks.values().any(|p| match (p.phase, p.stop) {
+                (Phase::Decided, None) => m.fenced,
+                (Phase::Seen(phase), Some(stop)) => !phase.exited() && !stop.sent,
+                _ => false,
+            });
+            !m.direct
+                && !silent
+                && now >= m.direct_retry
+                && matches!(m.standing, Standing::Up | Standing::Leaving)
+                && (!m.fenced || urgent)
+        };
+        let id = self.machines.values().find(|m| due(m))?.id.clone();
+        let commands = self.commands(&id, None);
+        let machine = self.machines.get_mut(&id)?;
+        machine.direct = true;
+        Some(Direct {
+            addr: machine.addr?,
+            token: machine.token,
+            session: machine.session,
+            machine: id,
+            commands,
+        })
+    }
+
+    pub fn direct_reply(&mut self, direct: &Direct, reply: DirectReply, now: Duration) {
+        let Some(machine) = self.machines.get_mut(&direct.machine) else {
+            return;
+        };
+        machine.direct = false;
+        let (executed, report) = match reply {
+            DirectReply::Executed(report) => (true, report),
+            DirectReply::Refused(report) => (false, report),
+            DirectReply::Unclear => {
+                // It may still be executed, until the worker sees a higher token.
+                machine.token += 1;
+                machine.direct_retry = now + self.config.report * 2;
+                return;
+            }
+        };
+        if !executed {
+            machine.direct_retry = now + self.config.report;
+        }
+        if machine.session != direct.session || report.session != machine.session {
+            return;
+        }
+        for placement in machine.tasks.values_mut() {
+            if let Phase::Sent { seq, direct: sent } = &mut placement.phase
+                && *sent == Some(direct.token)
+            {
+                // It is over: what was executed is in the list.
+                *sent = None;
+                if !executed && *seq == 0 {
+                    placement.phase = Phase::Decided;
+                }
+            }
+        }
+        if report.seq <= machine.content_seq || report.token >> 16 > self.claim {
+            return;
+        }
+        machine.content_seq = report.seq;
+        machine.heard_at = Some(now);
+        if report.token >= self.token && !machine.fenced {
+            machine.fenced = true;
+            machine.unresolved = false;
+            self.wake();
+        }
+        let id = direct.machine.clone();
+        self.take_in(&id, &report, false, now);
+        self.requeue();
     }
 
     /// A new session has none of the tasks of the one before.
@@ -390,9 +489,9 @@
     }
 
     /// The worker's list of tasks against what is known of the machine.
-    fn take_in(&mut self, id: &MachineId, seq: u64, tasks: &[ReportedTask], now: Duration) {
+    fn take_in(&mut self, id: &MachineId, report: &WorkerReport, regular: bool, now: Duration) {
         let mut listed = BTreeSet::new();
-        for reported in tasks {
+        for reported in &report.tasks {
             let key = (reported.task.clone(), reported.attempt);
             listed.insert(key.clone());
             self.take_in_task(id, key, reported.phase, now);
@@ -407,7 +506,11 @@
                 !listed.contains(key)
                     && match placement.phase {
                         Phase::Decided => false,
-                        Phase::Sent { seq: sent } => seq > sent,
+                        Phase::Sent { seq, direct } => {
+                            regular
+                                && report.seq > seq
+                                && direct.is_none_or(|token| report.token > token)
+                        }
                         Phase::Seen(_) => true,
                     }
             })
@@ -494,14 +597,14 @@
         // The result of a task counts wherever it was reached.
         let finished = phase == TaskPhase::Exited(Why::Done);
         let machine = self.machines.get_mut(id).expect("known machine");
-        let stop = (!ours).then_some(Stop {
-            grace: Duration::ZERO,
-            at: now,
-        });
+        let stop = (!ours).then_some(Stop::new(Duration::ZERO, now));
         machine.tasks.insert(
             key.clone(),
             Placement {
-                phase: Phase::Sent { seq: 0 },
+                phase: Phase::Sent {
+                    seq: 0,
+                    direct: None,
+                },
                 need: spec.as_ref().map_or(machine.size, |spec| spec.need),
                 spec,
                 since: now,
@@ -587,10 +690,7 @@
                             job.running -= 1;
                         }
                         p.foreign = true;
-                        p.stop.get_or_insert(Stop {
-                            grace: Duration::ZERO,
-                            at: now,
-                        });
+                        p.stop.get_or_insert(Stop::new(Duration::ZERO, now));
                     }
                 }
             }
@@ -639,7 +739,7 @@
                     unsent.push((machine.id.clone(), task.clone(), p.clone()));
                     return false;
                 }
-                p.stop.get_or_insert(Stop { grace, at: now });
+                p.stop.get_or_insert(Stop::new(grace, now));
                 true
             });
         }
@@ -669,12 +769,12 @@
             self.release_slot(id, &key.0, &placement);
             self.requeue();
         } else if placement.stop.is_none() {
-            placement.stop = Some(Stop { grace, at: now });
+            placement.stop = Some(Stop::new(grace, now));
         }
     }
 
     /// Everything the worker should do now, in order: room is made before it is used.
-    fn commands(&mut self, id: &MachineId, seq: u64) -> Vec<Command> {
+    fn commands(&mut self, id: &MachineId, seq: Option<u64>) -> Vec<Command> {
         let machine = self.machines.get_mut(id).expect("known machine");
         let (mut ends, mut starts) = (Vec::new(), Vec::new());
         for ((task, attempt), placement) in &mut machine.tasks {
@@ -693,14 +793,27 @@
                     }
                 }
                 (Phase::Decided | Phase::Sent { .. }, None) if machine.fenced => {
-                    placement.phase = Phase::Sent { seq };
+                    let (last, direct) = match placement.phase {
+                        Phase::Sent { seq, direct } => (seq, direct),
+                        _ => (0, None),
+                    };
+                    placement.phase = match seq {
+                        Some(seq) => Phase::Sent { seq, direct },
+                        None => Phase::Sent {
+                            seq: last,
+                            direct: Some(machine.token),
+                        },
+                    };
                     starts.push(Command::Start { task, attempt });
                 }
-                (Phase::Seen(_), Some(stop)) => ends.push(Command::Stop {
-                    task,
-                    attempt,
-                    grace: stop.grace,
-                }),
+                (Phase::Seen(_), Some(stop)) => {
+                    ends.push(Command::Stop {
+                        task,
+                        attempt,
+                        grace: stop.grace,
+                    });
+                    placement.stop = Some(Stop { sent: true, ..stop });
+                }
                 _ => {}
             }
         }
--- a/src/core/machine.rs
+++ b/src/core/machine.rs
@@ -45,7 +45,7 @@
 }
 
 /// Why a task exited.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Why {
     Done,
     Stopped { saved: bool },
@@ -57,7 +57,7 @@
     Unknown,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TaskPhase {
     Fetching,
     Waiting,
@@ -80,7 +80,7 @@
     }
 }
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct ReportedTask {
     pub task: TaskId,
     pub attempt: u64,
@@ -88,7 +88,7 @@
 }
 
 /// A worker's report.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct WorkerReport {
     pub machine: MachineId,
     pub addr: SocketAddr,
@@ -102,7 +102,16 @@
     pub tasks: Vec<ReportedTask>,
 }
 
-#[derive(Debug, Clone, PartialEq)]
+/// What became of commands sent straight to a worker.
+#[derive(Debug, Clone)]
+pub enum DirectReply {
+    Executed(WorkerReport),
+    /// Nothing was executed.
+    Refused(WorkerReport),
+    Unclear,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Command {
     Start {
         task: TaskId,
@@ -134,7 +143,9 @@
     Decided,
     /// Sent with the answer to the report of this number. A worker has one
     /// report in flight and drops late answers, so the next report tells.
-    Sent { seq: u64 },
+    /// Sent straight to the worker under a token, it may be executed late,
+    /// until the worker has seen a higher one.
+    Sent { seq: u64, direct: Option<u64> },
     /// Seen in a report.
     Seen(TaskPhase),
 }
@@ -158,6 +169,18 @@
 pub struct Stop {
     pub grace: Duration,
     pub at: Duration,
+    /// It went out once, so there is no hurry any more.
+    pub sent: bool,
+}
+
+impl Stop {
+    pub fn new(grace: Duration, at: Duration) -> Self {
+        Self {
+            grace,
+            at,
+            sent: false,
+        }
+    }
 }
 
 impl Placement {
@@ -197,8 +220,16 @@
     pub addr: Option<SocketAddr>,
     pub standing: Standing,
     pub session: u64,
-    /// Newest report, and newest message of any kind, in this session.
+    /// The newest report in this session, and the newest message of any kind.
     pub report_seq: u64,
+    pub content_seq: u64,
+    /// The token for this worker. Raised to shut out a direct command whose
+    /// fate is unclear.
+    pub token: u64,
+    /// A direct command is under way.
+    pub direct: bool,
+    /// No direct command before this time.
+    pub direct_retry: Duration,
     /// A session whose lease is over: reports from it came late.
     pub dead_session: u64,
     /// The worker has been seen to know this leader's token.
@@ -243,6 +274,10 @@
             standing: Standing::Booting,
             session: 0,
             report_seq: 0,
+            content_seq: 0,
+            token: 0,
+            direct: false,
+            direct_retry: Duration::ZERO,
             dead_session: 0,
             fenced: false,
             enrolling: false,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -10,6 +10,7 @@
 pub mod machine;
 pub mod mirror;
 pub mod queue;
+pub mod relay;
 pub mod saves;
 pub mod sched;
 pub mod store;
@@ -20,14 +21,17 @@
     time::Duration,
 };
 
+use serde::{Deserialize, Serialize};
+
 use config::Config;
 use fleet::{CloudReply, CloudRequest};
 use front::{Front, Question};
 use job::{FinalRecord, JobId, JobSpec, JobState};
 use lead::Lead;
-use leader::Leader;
-use machine::{Command, MachineId, WorkerReport};
+use leader::{Direct, Leader};
+use machine::{Command, DirectReply, MachineId, WorkerReport};
 use mirror::{Mirror, Noticed};
+use relay::{PeerMessage, Relays};
 use store::{LIVE, StateReply, StateRequest};
 
 /// Time as a step sees it.
@@ -73,6 +77,14 @@
         call: CallId,
         reply: CloudReply,
     },
+    Direct {
+        call: CallId,
+        reply: DirectReply,
+    },
+    Peer {
+        from: String,
+        message: PeerMessage,
+    },
     Tick,
 }
 
@@ -91,9 +103,18 @@
         call: CallId,
         request: CloudRequest,
     },
+    /// Commands straight to a worker.
+    Direct {
+        call: CallId,
+        direct: Direct,
+    },
+    Peer {
+        to: String,
+        message: PeerMessage,
+    },
 }
 
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Answer {
     Accepted(JobId),
     /// Known already: its state now.
@@ -148,6 +169,7 @@
     Save(saves::Save),
     StoreTypes,
     Cloud(CloudRequest),
+    Direct(Direct),
 }
 
 const STATE_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -176,6 +198,7 @@
     types_call: bool,
     retry_types: Duration,
     saves: saves::Saves,
+    relays: Relays,
 }
 
 impl Node {
@@ -183,6 +206,7 @@
         let config = Arc::new(config);
         Self {
             saves: saves::Saves::new(&config),
+            relays: Relays::default(),
             config,
             clock: Clock {
                 now: Duration::ZERO,
@@ -217,7 +241,7 @@
                 let ready = self.mirror.loaded && self.mirror.types.is_some();
                 self.answer(request, Answer::Ready(ready));
             }
-            Input::Report { request, report } => self.report(request, &report),
+            Input::Report { request, report } => self.report(request, report),
             Input::State { call, reply } => {
                 if let Some(purpose) = self.calls.remove(&call) {
                     self.state_reply(purpose, reply);
@@ -228,6 +252,15 @@
                     self.cloud_reply(&request, reply);
                 }
             }
+            Input::Direct { call, reply } => {
+                if let Some(Purpose::Direct(direct)) = self.calls.remove(&call)
+                    && let Some(leader) = &mut self.leader
+                    && direct.token >> 16 == leader.claim
+                {
+                    leader.direct_reply(&direct, reply, clock.now);
+                }
+            }
+            Input::Peer { from, message } => self.peer_message(from, message),
             Input::Tick => {}
         }
         self.pump();
@@ -272,6 +305,7 @@
         self.pump_types();
         self.pump_lead();
         self.pump_polls();
+        self.pump_relays();
         let now = self.now();
         if !self.leads() {
             return;
@@ -283,7 +317,18 @@
         if leader.queue.dirty && now >= leader.next_pass {
             leader.pass(now);
         }
-        if let Some(request) = leader.cloud_work(now) {
+        let mut directs = Vec::new();
+        while let Some(direct) = leader.direct_commands(now) {
+            directs.push(direct);
+        }
+        let cloud = leader.cloud_work(now);
+        for direct in directs {
+            self.next_call += 1;
+            let call = self.next_call;
+            self.calls.insert(call, Purpose::Direct(direct.clone()));
+            self.out.push(Output::Direct { call, direct });
+        }
+        if let Some(request) = cloud {
             self.call_cloud(request);
         }
         self.pump_saves();
@@ -381,7 +426,7 @@
             Purpose::TakeOver(loading) => self.take_over_reply(loading, reply),
             Purpose::Save(save) => self.saved(save, reply),
             Purpose::StoreTypes => {}
-            Purpose::Cloud(_) => {}
+            Purpose::Cloud(_) | Purpose::Direct(_) => {}
         }
     }
 
@@ -471,47 +516,34 @@
         }
     }
 
-    fn report(&mut self, request: RequestId, report: &WorkerReport) {
+    /// What the leader answers to a report, whichever way it came; none where
+    /// this node does not lead.
+    fn lead_report(&mut self, report: &WorkerReport) -> Option<Answer> {
         let now = self.now();
         if !self.leads() {
-            let node = self
-                .mirror
-                .leader
-                .as_ref()
-                .map(|(record, _)| record.node.clone())
-                .filter(|node| *node != self.config.node);
-            self.answer(request, Answer::Redirect(node));
-            return;
+            return None;
         }
         let Some(leader) = &mut self.leader else {
-            // Taking over: the lease is kept alive, commands come later. The
-            // report is not counted as heard.
-            let token = self.lead.token();
-            let answer = match token {
-                Some(token) if report.token <= token => Answer::Commands {
-                    token,
-                    commands: Vec::new(),
-                },
-                _ => Answer::Redirect(None),
-            };
-            self.answer(request, answer);
-            return;
+            // Taking over: the worker's lease is kept alive, commands come later.
+            // The report is not counted as heard.
+            let token = self.lead.token()?;
+            return (report.token >> 16 <= token >> 16).then(|| Answer::Commands {
+                token,
+                commands: Vec::new(),
+            });
         };
-        if report.token > leader.token {
+        if report.token >> 16 > leader.claim {
             // Somebody with a later claim has commanded it.
             self.drop_leader("a worker knows a higher token");
-            self.answer(request, Answer::Redirect(None));
-            return;
+            return None;
         }
-        let token = leader.token;
         if leader.queue.dirty && now >= leader.next_pass {
             leader.pass(now);
         }
-        let answer = match leader.report(report, now) {
-            Some(commands) => Answer::Commands { token, commands },
+        Some(match leader.report(report, now) {
+            Some((token, commands)) => Answer::Commands { token, commands },
             None => Answer::Redirect(None),
-        };
-        self.answer(request, answer);
+        })
     }
 
     /// Names of machines in the leader's picture, for tests and logs.
--- a/src/io/client.rs
+++ b/src/io/client.rs
@@ -15,6 +15,8 @@
     core::{
         CallId, Input,
         fleet::{CloudReply, CloudRequest},
+        leader::Direct,
+        machine::DirectReply,
         store::{StateReply, StateRequest},
     },
     settings::Settings,
@@ -25,6 +27,7 @@
 
 /// The largest answer that is read.
 const ANSWER_MOST: usize = 8 << 20;
+const DIRECT_TIMEOUT: Duration = Duration::from_secs(1);
 const CLOUD_TIMEOUT: Duration = Duration::from_secs(5);
 
 pub struct Client {
@@ -48,7 +51,7 @@
         let http = HttpClient::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(Duration::from_secs(30))
-            .pool_max_idle_per_host(8)
+            .pool_max_idle_per_host(4)
             .build(connector);
         Self {
             http,
@@ -105,6 +108,24 @@
     }
 }
 
+impl Client {
+    /// Commands straight to a worker.
+    pub fn direct(&self, call: CallId, direct: &Direct) {
+        let body = wire::worker::commands(direct.token, Some(direct.session), &direct.commands);
+        let path = "/do".to_owned();
+        let (http, body) = (self.http.clone(), Some(body));
+        let reply = exchange(http, direct.addr, Method::POST, path, body, DIRECT_TIMEOUT);
+        let results = self.results.clone();
+        tokio::task::spawn_local(async move {
+            let reply = match reply.await {
+                Some(r) => wire::worker::decode_direct(r.status, &r.body),
+                None => DirectReply::Unclear,
+            };
+            let _ = results.send(Input::Direct { call, reply });
+        });
+    }
+}
+
 /// One request and its answer, or none within the time.
 async fn exchange(
     http: Http,
--- a/src/io/mod.rs
+++ b/src/io/mod.rs
@@ -1,6 +1,7 @@
 //! Sockets, clocks and timers around the core. Nothing is decided here.
 
 mod client;
+mod peer;
 mod server;
 
 use std::{
@@ -36,12 +37,17 @@
 pub async fn serve(settings: Settings, options: Options) -> std::io::Result<()> {
     let (calls, mut incoming) = mpsc::channel::<Call>(1024);
     let config = Config::new(&settings, options);
-    let listener = server::bind(&settings)?;
+    let listener = server::bind(settings.listen)?;
+    let peer_listener = server::bind(settings.peer_listen)?;
     let tasks = tokio::task::LocalSet::new();
     tasks
         .run_until(async move {
-            tokio::task::spawn_local(server::serve(listener, settings.clone(), calls));
+            let listener = tokio::net::TcpListener::from_std(listener)?;
+            let peer_listener = tokio::net::TcpListener::from_std(peer_listener)?;
+            tokio::task::spawn_local(server::serve(listener, calls));
             let (results, mut replies) = mpsc::unbounded_channel::<Input>();
+            let peers = settings.peers.len();
+            tokio::task::spawn_local(peer::listen(peer_listener, peers * 4, results.clone()));
             let client = client::Client::new(&settings, results);
             let mut tick = tokio::time::interval(TICK);
             tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -50,6 +56,7 @@
                 waiting: RefCell::default(),
                 started: Instant::now(),
                 client: Rc::new(client),
+                peers: peer::Peers::new(&settings),
             };
             let mut next_request: RequestId = 0;
             loop {
@@ -72,6 +79,7 @@
     waiting: RefCell<HashMap<RequestId, oneshot::Sender<Answer>>>,
     started: Instant,
     client: Rc<client::Client>,
+    peers: peer::Peers,
 }
 
 impl Driver {
@@ -98,6 +106,8 @@
                     timeout,
                 } => self.client.state(call, request, timeout),
                 Output::Cloud { call, request } => self.client.cloud(call, request),
+                Output::Direct { call, direct } => self.client.direct(call, &direct),
+                Output::Peer { to, message } => self.peers.send(&to, message),
             }
         }
     }
--- /dev/null
+++ b/src/io/peer.rs
@@ -0,0 +1,132 @@
+//! Lines between nodes. Each node dials every other one and only writes on the
+//! connections it dialled; what can't be sent now is dropped, since whoever
+//! waits for an answer has a time limit.
+
+use std::{net::SocketAddr, time::Duration};
+
+use tokio::{
+    io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader},
+    net::{TcpListener, TcpStream},
+    sync::mpsc::{Receiver, Sender, UnboundedSender, channel},
+    time::{sleep, timeout},
+};
+
+use crate::{
+    core::{Input, relay::PeerMessage},
+    settings::Settings,
+    wire::peer::Line,
+};
+
+/// Lines that wait for one peer.
+const QUEUED_MOST: usize = 256;
+const LINE_MOST: u64 = 1 << 20;
+const RETRY: Duration = Duration::from_millis(300);
+const WITHIN: Duration = Duration::from_secs(1);
+
+pub struct Peers {
+    from: String,
+    queues: Vec<(String, Sender<String>)>,
+}
+
+impl Peers {
+    pub fn new(settings: &Settings) -> Self {
+        let queues = settings
+            .peers
+            .iter()
+            .map(|peer| {
+                let (queue, lines) = channel(QUEUED_MOST);
+                tokio::task::spawn_local(dial(peer.addr, lines));
+                (peer.node.clone(), queue)
+            })
+            .collect();
+        Self {
+            from: settings.node.clone(),
+            queues,
+        }
+    }
+
+    pub fn send(&self, to: &str, message: PeerMessage) {
+        let line = Line {
+            from: self.from.clone(),
+            message,
+        };
+        if let Some((_, queue)) = self.queues.iter().find(|(node, _)| node == to)
+            && let Ok(mut text) = serde_json::to_string(&line)
+        {
+            text.push('\n');
+            // A full queue means that the peer can't be reached.
+            let _ = queue.try_send(text);
+        }
+    }
+}
+
+async fn dial(addr: SocketAddr, mut lines: Receiver<String>) {
+    loop {
+        if let Ok(Ok(stream)) = timeout(WITHIN, TcpStream::connect(addr)).await {
+            let _ = stream.set_nodelay(true);
+            if talk(stream, &mut lines).await.is_none() {
+                return;
+            }
+        }
+        // Lines that waited meanwhile are too old to be of use.
+        while lines.try_recv().is_ok() {}
+        sleep(RETRY).await;
+    }
+}
+
+/// Writes lines until the connection fails; none once there will be no more.
+async fn talk(mut stream: TcpStream, lines: &mut Receiver<String>) -> Option<()> {
+    let mut byte = [0u8; 1];
+    loop {
+        let line = tokio::select! {
+            // Nothing is ever sent back: this ends when the peer does.
+            _ = stream.read(&mut byte) => return Some(()),
+            line = lines.recv() => line?,
+        };
+        match timeout(WITHIN, stream.write_all(line.as_bytes())).await {
+            Ok(Ok(())) => {}
+            _ => return Some(()),
+        }
+    }
+}
+
+pub async fn listen(listener: TcpListener, most: usize, inputs: UnboundedSender<Input>) {
+    let room = std::sync::Arc::new(tokio::sync::Semaphore::new(most));
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(RETRY).await;
+            continue;
+        };
+        let Ok(permit) = room.clone().try_acquire_owned() else {
+            continue;
+        };
+        let inputs = inputs.clone();
+        tokio::task::spawn_local(async move {
+            let _permit = permit;
+            read_lines(stream, inputs).await;
+        });
+    }
+}
+
+async fn read_lines(stream: TcpStream, inputs: UnboundedSender<Input>) {
+    let mut reader = BufReader::new(stream);
+    let mut text = Vec::new();
+    loop {
+        text.clear();
+        let mut limited = (&mut reader).take(LINE_MOST);
+        match limited.read_until(b'\n', &mut text).await {
+            Ok(n) if n > 0 && text.last() == Some(&b'\n') => {}
+            _ => return,
+        }
+        let Ok(line) = serde_json::from_slice::<Line>(&text) else {
+            return;
+        };
+        let input = Input::Peer {
+            from: line.from,
+            message: line.message,
+        };
+        if inputs.send(input).is_err() {
+            return;
+        }
+    }
+}
--- a/src/io/server.rs
+++ b/src/io/server.rs
@@ -1,6 +1,10 @@
 //! What users, workers and the load balancer reach.
 
-use std::{net::TcpListener, sync::Arc, time::Duration};
+use std::{
+    net::{SocketAddr, TcpListener},
+    sync::Arc,
+    time::Duration,
+};
 
 use poem::{
     Body, Endpoint, EndpointExt, Request, Response, Route, Server, get,
@@ -13,7 +17,6 @@
 use super::Call;
 use crate::{
     core::{Answer, Input, RequestId, job::JobId},
-    settings::Settings,
     wire,
 };
 
@@ -24,8 +27,8 @@
 const ANSWER_WITHIN: Duration = Duration::from_secs(4);
 const IDLE_CONNECTION: Duration = Duration::from_secs(60);
 
-pub fn bind(settings: &Settings) -> std::io::Result<TcpListener> {
-    let listener = TcpListener::bind(settings.listen)?;
+pub fn bind(addr: SocketAddr) -> std::io::Result<TcpListener> {
+    let listener = TcpListener::bind(addr)?;
     listener.set_nonblocking(true)?;
     Ok(listener)
 }
@@ -37,11 +40,9 @@
 }
 
 pub async fn serve(
-    listener: TcpListener,
-    _settings: Settings,
+    listener: tokio::net::TcpListener,
     calls: mpsc::Sender<Call>,
 ) -> std::io::Result<()> {
-    let listener = tokio::net::TcpListener::from_std(listener)?;
     let acceptor = TcpAcceptor::from_tokio(listener)?;
     let api = Api {
         calls,
--- a/src/wire/worker.rs
+++ b/src/wire/worker.rs
@@ -4,7 +4,7 @@
 
 use crate::core::{
     job::{JobId, TaskId},
-    machine::{Command, ReportedTask, TaskPhase, Why, WorkerReport},
+    machine::{Command, DirectReply, ReportedTask, TaskPhase, Why, WorkerReport},
 };
 
 #[derive(Debug, Deserialize, Serialize)]
@@ -152,3 +152,12 @@
         None => "{}".into(),
     }
 }
+
+/// Reads the answer to direct commands.
+pub fn decode_direct(status: u16, body: &[u8]) -> DirectReply {
+    match (status, parse_report(body)) {
+        (200, Ok(report)) => DirectReply::Executed(report),
+        (409, Ok(report)) => DirectReply::Refused(report),
+        _ => DirectReply::Unclear,
+    }
+}
