Settle at the claim whether the predecessor ran on this node

Whether the key of a predecessor is replaced is now decided when the claim is sent, and never after this process asked for a vacant leadership.

--- a/src/core/lead.rs
+++ b/src/core/lead.rs
@@ -28,8 +28,9 @@
     renewing: bool,
     claiming: bool,
     retry: Duration,
-    /// This process has led before.
-    led: bool,
+    /// This process has asked for a vacant leadership, so a leader key of this
+    /// node need not be that of the process before it.
+    asked: bool,
     /// The former leader has stopped acting by then.
     former_stopped: Duration,
     taking: Option<TakeOver>,
@@ -123,11 +124,21 @@
                 },
             ),
             Some(lease) => {
+                // Only the process before this one, which ended before this one
+                // began, needs no waiting for its workers from the claim on. By
+                // the time of the answer the key may be this claim's already, so
+                // this is settled here.
+                self.lead.asked |= version == 0;
+                let predecessor = !self.lead.asked;
                 let record = LeaderRecord {
                     node: self.config.node.clone(),
                 };
                 self.call(
-                    Purpose::Claim { lease, sent: now },
+                    Purpose::Claim {
+                        lease,
+                        sent: now,
+                        predecessor,
+                    },
                     StateRequest::Txn {
                         conditions: vec![when(LEADER, version)],
                         changes: vec![put_leased(LEADER, &record, Some(lease))],
@@ -165,25 +176,24 @@
         }
     }
 
-    pub(super) fn claimed(&mut self, lease: u64, sent: Duration, reply: StateReply) {
+    pub(super) fn claimed(
+        &mut self,
+        lease: u64,
+        sent: Duration,
+        predecessor: bool,
+        reply: StateReply,
+    ) {
         self.lead.claiming = false;
         let now = self.now();
         match reply {
             StateReply::Committed { revision } if self.lead.lease == Some(lease) => {
                 info!(claim = revision, after = ?(now - sent), "lead");
                 self.lead.claim = Some(revision);
-                // A predecessor on this node ended before this process began.
-                let predecessor = !self.lead.led
-                    && self
-                        .mirror
-                        .leader
-                        .as_ref()
-                        .is_some_and(|(record, _)| record.node == self.config.node);
                 self.lead.former_stopped = match predecessor {
                     true => Duration::ZERO,
                     false => now,
                 };
-                self.lead.led = true;
+                self.lead.asked = true;
                 self.lead.taking = Some(TakeOver::default());
             }
             StateReply::LeaseGone => {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -151,6 +151,7 @@
     Claim {
         lease: u64,
         sent: Duration,
+        predecessor: bool,
     },
     Accept {
         request: RequestId,
@@ -415,7 +416,11 @@
             }
             Purpose::Grant => self.granted(reply),
             Purpose::Renew { sent } => self.renewed(sent, reply),
-            Purpose::Claim { lease, sent } => self.claimed(lease, sent, reply),
+            Purpose::Claim {
+                lease,
+                sent,
+                predecessor,
+            } => self.claimed(lease, sent, predecessor, reply),
             Purpose::Accept {
                 request,
                 spec,
