--- a/src/core/store.rs
+++ b/src/core/store.rs
@@ -93,9 +93,6 @@
     Renew {
         lease: u64,
     },
-    End {
-        lease: u64,
-    },
     Watch {
         prefix: &'static str,
         after: u64,
--- a/src/wire/state.rs
+++ b/src/wire/state.rs
@@ -102,7 +102,6 @@
             (Method::POST, "/holds".into(), Some(body))
         }
         StateRequest::Renew { lease } => (Method::POST, format!("/holds/{lease}/renew"), None),
-        StateRequest::End { lease } => (Method::DELETE, format!("/holds/{lease}"), None),
         StateRequest::Watch {
             prefix,
             after,
@@ -144,7 +143,7 @@
         (429 | 503, _) => StateReply::Refused { retry },
         (200, request) => decode_ok(request, body).unwrap_or(StateReply::Unclear),
         (404, StateRequest::Get { .. }) => StateReply::Missing,
-        (404, StateRequest::Renew { .. } | StateRequest::End { .. }) => StateReply::LeaseGone,
+        (404, StateRequest::Renew { .. }) => StateReply::LeaseGone,
         (409, StateRequest::Txn { .. }) => StateReply::Conflict,
         (400, StateRequest::Txn { .. }) => StateReply::LeaseGone,
         (410, StateRequest::Watch { .. }) => StateReply::TooOld,
@@ -178,7 +177,7 @@
                 lease: lease.tether,
             }
         }
-        StateRequest::Renew { .. } | StateRequest::End { .. } => StateReply::Renewed,
+        StateRequest::Renew { .. } => StateReply::Renewed,
         StateRequest::Watch { .. } => {
             let watched: Watched = serde_json::from_slice(body).ok()?;
             let mut events = Vec::with_capacity(watched.events.len());
--- /dev/null
+++ b/tests/world/observer.rs
@@ -0,0 +1,187 @@
+//! Checks the rules from outside: it sees what users are told and what runs where.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
+
+use kiteyard::core::job::{JobId, JobSpec, JobState, TaskId};
+
+#[derive(Default)]
+struct Told {
+    state: Option<JobState>,
+    withdrawn: bool,
+    cancelled_at: Option<Duration>,
+}
+
+/// A task that has its image.
+pub struct Running {
+    pub spec: JobSpec,
+    pub machine: String,
+    pub zone: String,
+    pub spot: bool,
+}
+
+#[derive(Default)]
+pub struct Observer {
+    told: HashMap<JobId, Told>,
+    done_tasks: BTreeMap<TaskId, ()>,
+    on: BTreeMap<TaskId, Running>,
+    broken: Vec<String>,
+    pub starts: u64,
+    pub finished: u64,
+    cancel_within: Duration,
+    limits: HashMap<String, f64>,
+}
+
+impl Observer {
+    pub fn new(cancel_within: Duration, team: &str, limit: f64) -> Self {
+        Self {
+            cancel_within,
+            limits: HashMap::from([(team.to_owned(), limit)]),
+            ..Self::default()
+        }
+    }
+
+    pub fn broken(&self) -> Vec<String> {
+        self.broken.clone()
+    }
+
+    fn breaks(&mut self, now: Duration, rule: &str, what: String) {
+        if self.broken.len() < 20 {
+            self.broken
+                .push(format!("{rule} at {:.3}: {what}", now.as_secs_f64()));
+        }
+    }
+
+    pub fn started(&mut self, now: Duration, task: &TaskId, running: Running) {
+        self.starts += 1;
+        if let Some(other) = self.on.get(task) {
+            let what = format!("{task} on {} and {}", other.machine, running.machine);
+            self.breaks(now, "ran_twice", what);
+        }
+        let spec = running.spec.clone();
+        let same: Vec<&Running> = self
+            .on
+            .iter()
+            .filter(|(t, _)| t.job == spec.id)
+            .map(|(_, r)| r)
+            .collect();
+        let in_zone = same.iter().filter(|r| r.zone == running.zone).count() as u32;
+        let wrong = (running.spot && !spec.spot)
+            || spec.zone.as_ref().is_some_and(|zone| *zone != running.zone)
+            || (spec.one_zone && same.iter().any(|r| r.zone != running.zone))
+            || (spec.spread && in_zone + 1 > spec.tasks.div_ceil(2));
+        if wrong {
+            self.breaks(now, "wrong_place", format!("{task} in {}", running.zone));
+        }
+        let team = spec.team.to_string();
+        self.on.insert(task.clone(), running);
+        let used: f64 = self
+            .on
+            .values()
+            .filter(|r| *r.spec.team == *team)
+            .map(|r| r.spec.need.cpus)
+            .sum();
+        if let Some(limit) = self.limits.get(&team)
+            && used > *limit + 1e-6
+        {
+            self.breaks(now, "quota", format!("{team} uses {used}"));
+        }
+    }
+
+    pub fn gone(&mut self, task: &TaskId, machine: &str, done: bool) {
+        if self.on.get(task).is_some_and(|r| r.machine == machine) {
+            self.on.remove(task);
+        }
+        if done {
+            self.done_tasks.insert(task.clone(), ());
+        }
+    }
+
+    /// Time goes on: nothing of a cancelled job may be left after its time.
+    pub fn tick(&mut self, now: Duration) {
+        let late: Vec<String> = self
+            .on
+            .keys()
+            .filter(|task| {
+                self.told
+                    .get(&task.job)
+                    .and_then(|told| told.cancelled_at)
+                    .is_some_and(|at| now > at + self.cancel_within)
+            })
+            .map(|task| task.to_string())
+            .collect();
+        for task in late {
+            self.breaks(now, "ran_cancelled", task);
+        }
+    }
+
+    pub fn withdrawn(&mut self, id: &JobId) {
+        self.told.entry(id.clone()).or_default().withdrawn = true;
+    }
+
+    /// A user was told of a job's state by an answer to a question sent at `asked`.
+    pub fn told(
+        &mut self,
+        now: Duration,
+        spec: &JobSpec,
+        state: JobState,
+        before: Option<JobState>,
+    ) {
+        let over = |state| matches!(state, JobState::Done | JobState::Cancelled);
+        let id = &spec.id;
+        if state == JobState::Done {
+            let done = (0..spec.tasks).all(|index| {
+                let task = TaskId {
+                    job: id.clone(),
+                    index,
+                };
+                self.done_tasks.contains_key(&task)
+            });
+            if !done {
+                self.breaks(now, "not_done", id.to_string());
+            }
+        }
+        if let Some(before) = before
+            && over(before)
+            && before != state
+        {
+            self.breaks(now, "went_back", format!("{id} {before:?} to {state:?}"));
+        }
+        let told = self.told.entry(id.clone()).or_default();
+        let uncalled = state == JobState::Cancelled && !told.withdrawn;
+        if state == JobState::Done && !told.state.is_some_and(over) {
+            self.finished += 1;
+        }
+        if state == JobState::Cancelled {
+            told.cancelled_at.get_or_insert(now);
+        }
+        if told.state.is_none_or(|s| !over(s)) {
+            told.state = Some(state);
+        }
+        if uncalled {
+            self.breaks(now, "went_back", format!("{id} cancelled by nobody"));
+        }
+    }
+
+    pub fn state(&self, id: &JobId) -> Option<JobState> {
+        self.told.get(id).and_then(|told| told.state)
+    }
+
+    pub fn not_found(&mut self, now: Duration, id: &JobId, accepted_before: bool) {
+        if accepted_before {
+            self.breaks(now, "forgotten", id.to_string());
+        }
+    }
+
+    pub fn rejected(&mut self, now: Duration, id: &JobId) {
+        if self.state(id).is_some() {
+            self.breaks(now, "forgotten", format!("{id} rejected"));
+        }
+    }
+
+    pub fn known_without_submission(&mut self, now: Duration, id: &JobId) {
+        self.breaks(now, "invented", id.to_string());
+    }
+}
--- /dev/null
+++ b/tests/world/sim.rs
@@ -0,0 +1,1130 @@
+//! The simulated world around the cores.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    sync::Arc,
+    time::Duration,
+};
+
+use kiteyard::{
+    core::{
+        Answer, CallId, Clock, Input, Node, Output, RequestId,
+        config::{Config, Options},
+        fleet::{CloudReply, CloudRequest},
+        job::{JobId, JobSpec, JobState, Kind, Priority, Resources, TaskId},
+        leader::Direct,
+        machine::{
+            Command, DirectReply, ListedMachine, ListedState, MachineType, ReportedTask, TaskPhase,
+            Why, WorkerReport,
+        },
+        store::{Change, StateReply, StateRequest},
+    },
+    settings::Settings,
+};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+use crate::{
+    observer::{Observer, Running},
+    state::State,
+};
+
+/// Ways to make a core unsafe, all at its edges.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Sabotage {
+    None,
+    NoWorkerLease,
+    NoTeamLimit,
+    BlindForPlaces,
+    DeafForCancellations,
+    ForgetEnds,
+    BelieveRunning,
+    UnprovenAnswers,
+}
+
+const NODES: usize = 3;
+const ZONES: [&str; 3] = ["a", "b", "c"];
+const LENGTH: Duration = Duration::from_secs(150);
+const LEASE: Duration = Duration::from_secs(5);
+const REPORT: Duration = Duration::from_millis(800);
+const CANCEL: Duration = Duration::from_secs(20);
+const GANG_WAIT: Duration = Duration::from_secs(12);
+const CPUS: f64 = 8.0;
+const MACHINES_MOST: usize = 12;
+const TEAM_LIMIT: f64 = 20.0;
+
+fn ms(value: u64) -> Duration {
+    Duration::from_millis(value)
+}
+
+#[derive(Debug)]
+enum Event {
+    Tick(usize),
+    ToNode(usize, u64, Input),
+    AtState(usize, u64, CallId, StateRequest),
+    AtCloud(usize, u64, CallId, CloudRequest),
+    AtWorker(String, ToWorker),
+    WorkerTick(String),
+    Answered(usize, u64, RequestId, Answer),
+    User(usize),
+    Trouble,
+    Restart(usize),
+    OutageEnds,
+}
+
+#[derive(Debug)]
+enum ToWorker {
+    Answer(u64, Answer),
+    Do(usize, u64, CallId, Direct),
+}
+
+enum Asker {
+    Worker(String, u64),
+    User(usize, Asking, Option<JobState>),
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Asking {
+    Submit,
+    Status,
+    Withdraw,
+    Stranger,
+}
+
+struct WTask {
+    phase: TaskPhase,
+    /// When it has its image, ends, or gives up waiting, by its phase.
+    until: Duration,
+}
+
+struct Worker {
+    zone: usize,
+    spot: bool,
+    session: u64,
+    seq: u64,
+    token: u64,
+    tasks: BTreeMap<(TaskId, u64), WTask>,
+    lease_from: Duration,
+    node: usize,
+    in_flight: Option<(u64, Duration)>,
+    next_report: Duration,
+    last_sent: Duration,
+    hung_until: Duration,
+    /// How fast its clock goes.
+    pace: f64,
+    reports: u64,
+    notice: Option<Duration>,
+}
+
+struct Job {
+    spec: JobSpec,
+    accepted: bool,
+    withdraw_at: Option<Duration>,
+    over: bool,
+    faulty: bool,
+}
+
+struct Cut {
+    node: usize,
+    zone: usize,
+    until: Duration,
+    reset: bool,
+}
+
+pub struct World {
+    now: Duration,
+    rng: StdRng,
+    sabotage: Sabotage,
+    events: BTreeMap<(Duration, u64), Event>,
+    next_event: u64,
+    pub steps: u64,
+    nodes: Vec<Option<Node>>,
+    epochs: Vec<u64>,
+    started: Vec<Duration>,
+    paces: Vec<f64>,
+    asked: HashMap<(usize, u64, RequestId), Asker>,
+    next_request: RequestId,
+    state: State,
+    watches: Vec<(usize, u64, CallId, StateRequest, Duration)>,
+    outage: bool,
+    refused: Vec<Duration>,
+    cloud_away: Duration,
+    workers: BTreeMap<String, Worker>,
+    booting: BTreeMap<String, (usize, bool, Duration)>,
+    rentals: HashMap<String, Vec<Arc<str>>>,
+    next_machine: u64,
+    jobs: Vec<Job>,
+    results: BTreeSet<TaskId>,
+    cuts: Vec<Cut>,
+    pub observer: Observer,
+}
+
+fn settings(node: usize) -> Settings {
+    let peers: Vec<_> = (0..NODES)
+        .filter(|n| *n != node)
+        .map(|n| serde_json::json!({"label": format!("n{n}"), "site": ZONES[n], "peer_addr": "127.0.0.1:1"}))
+        .collect();
+    let text = serde_json::json!({
+        "label": format!("n{node}"), "site": ZONES[node],
+        "api_addr": "127.0.0.1:1", "cluster_listen": "127.0.0.1:2", "known": peers,
+        "outside": {"cloud": "127.0.0.1:3", "state": "127.0.0.1:4"},
+        "params": {
+            "zones": ZONES,
+            "teams": [{"name": "red", "cpus": 8.0, "cpus_max": TEAM_LIMIT}, {"name": "blue"}],
+            "workers": {"report_s": REPORT.as_secs_f64(), "lease_s": LEASE.as_secs_f64(),
+                "gang_wait_s": GANG_WAIT.as_secs_f64(), "gang_peer_s": 3.0, "cancel_s": CANCEL.as_secs_f64()},
+            "state": {"rps": 200.0, "write_rps": 100.0, "value_kb": 16.0, "txn_ops": 16},
+            "cloud": {"rps": 10.0, "list_lag_s": 3.0},
+            "resources": {"sockets": 500}
+        }
+    });
+    Settings::parse(&text.to_string()).expect("good settings")
+}
+
+impl World {
+    pub fn new(seed: u64, sabotage: Sabotage) -> Self {
+        let mut world = Self {
+            now: Duration::ZERO,
+            rng: StdRng::seed_from_u64(seed),
+            sabotage,
+            events: BTreeMap::new(),
+            next_event: 0,
+            steps: 0,
+            nodes: (0..NODES).map(|_| None).collect(),
+            epochs: vec![0; NODES],
+            started: vec![Duration::ZERO; NODES],
+            paces: vec![1.0; NODES],
+            asked: HashMap::new(),
+            next_request: 0,
+            state: State::default(),
+            watches: Vec::new(),
+            outage: false,
+            refused: vec![Duration::ZERO; NODES],
+            cloud_away: Duration::ZERO,
+            workers: BTreeMap::new(),
+            booting: BTreeMap::new(),
+            rentals: HashMap::new(),
+            next_machine: 0,
+            jobs: Vec::new(),
+            results: BTreeSet::new(),
+            cuts: Vec::new(),
+            observer: Observer::new(CANCEL, "red", TEAM_LIMIT),
+        };
+        for node in 0..NODES {
+            world.restart(node);
+        }
+        for i in 0..6 {
+            world.rent(i % 3, false, ms(1));
+        }
+        for i in 0..30 {
+            let job = world.make_job(i);
+            world.jobs.push(job);
+            let at = ms(world.rng.random_range(100..110_000));
+            world.push(at, Event::User(i));
+        }
+        for _ in 0..9 {
+            let at = ms(world.rng.random_range(8_000..120_000));
+            world.push(at, Event::Trouble);
+        }
+        world
+    }
+
+    fn make_job(&mut self, i: usize) -> Job {
+        let rng = &mut self.rng;
+        let kind = match rng.random_range(0..10) {
+            0..6 => Kind::Array,
+            6..8 => Kind::Service,
+            _ => Kind::Gang,
+        };
+        let tasks = match kind {
+            Kind::Array => rng.random_range(1..12),
+            Kind::Service => rng.random_range(1..4),
+            Kind::Gang => rng.random_range(2..4),
+        };
+        let priorities = [
+            Priority::Low,
+            Priority::Normal,
+            Priority::High,
+            Priority::Production,
+        ];
+        let spec = JobSpec {
+            id: JobId::parse(&format!("run-{i:06}")).expect("an id"),
+            class: Arc::from("work"),
+            team: Arc::from(if rng.random_bool(0.6) { "red" } else { "blue" }),
+            kind,
+            priority: priorities[rng.random_range(0..4)],
+            tasks,
+            need: Resources {
+                cpus: f64::from(rng.random_range(1..5u32)),
+                gpus: 0.0,
+                memory_gb: 1.0,
+            },
+            image: Arc::from(format!("img-{}", rng.random_range(0..3))),
+            image_gb: 1.0,
+            types: None,
+            zone: rng
+                .random_bool(0.2)
+                .then(|| ZONES[rng.random_range(0..3)].to_owned()),
+            one_zone: rng.random_bool(0.2),
+            spread: false,
+            spot: rng.random_bool(0.5),
+            estimate_s: 5.0,
+            checkpoint_s: if rng.random_bool(0.3) { 2.0 } else { 0.0 },
+            save_s: 1.0,
+            deadline_s: None,
+        };
+        let spec = JobSpec {
+            spread: spec.zone.is_none() && !spec.one_zone && rng.random_bool(0.2),
+            ..spec
+        };
+        let service = kind == Kind::Service;
+        let withdraw = service || rng.random_bool(0.15);
+        Job {
+            withdraw_at: withdraw.then(|| ms(rng.random_range(3_000..130_000))),
+            accepted: false,
+            over: false,
+            faulty: rng.random_bool(0.05),
+            spec,
+        }
+    }
+
+    pub fn run(&mut self) {
+        while let Some((&key, _)) = self.events.first_key_value() {
+            if key.0 > LENGTH {
+                break;
+            }
+            let event = self.events.remove(&key).expect("just seen");
+            self.now = key.0;
+            self.steps += 1;
+            self.handle(event);
+        }
+    }
+
+    fn push(&mut self, at: Duration, event: Event) {
+        self.next_event += 1;
+        self.events
+            .insert((at.max(self.now), self.next_event), event);
+    }
+
+    fn delay(&mut self) -> Duration {
+        match self.rng.random_range(0..100) {
+            0 => ms(self.rng.random_range(100..600)),
+            _ => ms(self.rng.random_range(1..15)),
+        }
+    }
+
+    /// When a message between a node and a zone arrives; none if the connection breaks.
+    fn path(&mut self, node: usize, zone: usize) -> Option<Duration> {
+        let delay = self.delay();
+        let now = self.now;
+        match self
+            .cuts
+            .iter()
+            .find(|c| c.node == node && c.zone == zone && c.until > now)
+        {
+            Some(cut) if cut.reset => None,
+            Some(cut) => Some(cut.until + delay),
+            None => Some(now + delay),
+        }
+    }
+
+    fn restart(&mut self, node: usize) {
+        let settings = settings(node);
+        let mut config = Config::new(&settings, Options::default());
+        match self.sabotage {
+            Sabotage::NoWorkerLease => config.worker_lease_bound = ms(1200),
+            Sabotage::NoTeamLimit => {
+                for team in config.teams.values_mut() {
+                    team.cpus_max = 0.0;
+                }
+            }
+            _ => {}
+        }
+        self.nodes[node] = Some(Node::new(config));
+        self.epochs[node] += 1;
+        self.started[node] = self.now;
+        self.paces[node] = 1.0 + self.rng.random_range(0..5) as f64 * 1e-4;
+        self.push(self.now, Event::Tick(node));
+    }
+
+    fn step(&mut self, node: usize, input: Input) {
+        let passed = (self.now - self.started[node]).mul_f64(self.paces[node]);
+        let clock = Clock {
+            now: passed,
+            wall_ms: self.now.as_millis() as u64,
+        };
+        let Some(core) = &mut self.nodes[node] else {
+            return;
+        };
+        let epoch = self.epochs[node];
+        for output in core.step(clock, input) {
+            self.output(node, epoch, output);
+        }
+    }
+
+    fn output(&mut self, node: usize, epoch: u64, output: Output) {
+        let delay = self.delay();
+        let now = self.now;
+        match output {
+            Output::Answer { request, answer } => {
+                self.push(now + delay, Event::Answered(node, epoch, request, answer));
+            }
+            Output::State {
+                call,
+                request,
+                timeout,
+            } => {
+                // Now and then a request is applied long after it was given up.
+                let late = self.rng.random_range(0..300) == 0;
+                let at = if late {
+                    now + delay + ms(4000)
+                } else {
+                    now + delay
+                };
+                self.push(at, Event::AtState(node, epoch, call, request));
+                let reply = StateReply::Unclear;
+                self.push(
+                    now + timeout,
+                    Event::ToNode(node, epoch, Input::State { call, reply }),
+                );
+            }
+            Output::Cloud { call, request } => {
+                self.push(now + delay, Event::AtCloud(node, epoch, call, request));
+                let reply = CloudReply::Unclear;
+                let at = now + Duration::from_secs(5);
+                self.push(at, Event::ToNode(node, epoch, Input::Cloud { call, reply }));
+            }
+            Output::Direct { call, direct } => {
+                let reply = DirectReply::Unclear;
+                let failed = Event::ToNode(node, epoch, Input::Direct { call, reply });
+                let name = direct.machine.to_string();
+                let zone = self.workers.get(&name).map(|w| w.zone);
+                match zone.and_then(|zone| self.path(node, zone)) {
+                    Some(at) => {
+                        self.push(
+                            at,
+                            Event::AtWorker(name, ToWorker::Do(node, epoch, call, direct)),
+                        );
+                        self.push(now + Duration::from_secs(1), failed);
+                    }
+                    None => self.push(now + delay, failed),
+                }
+            }
+            Output::Peer { to, message } => {
+                let to: usize = to[1..].parse().expect("a node's name");
+                if let Some(at) = self.path(node, to) {
+                    let from = format!("n{node}");
+                    let input = Input::Peer { from, message };
+                    self.push(at, Event::ToNode(to, self.epochs[to], input));
+                }
+            }
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Tick(node) => {
+                if self.nodes[node].is_some() {
+                    self.step(node, Input::Tick);
+                    self.push(self.now + ms(50), Event::Tick(node));
+                }
+                self.observer.tick(self.now);
+            }
+            Event::ToNode(node, epoch, input) => {
+                if self.epochs[node] == epoch {
+                    self.step(node, input);
+                }
+            }
+            Event::AtState(node, epoch, call, request) => self.at_state(node, epoch, call, request),
+            Event::AtCloud(node, epoch, call, request) => {
+                let reply = self.cloud(request);
+                let at = self.now + self.delay() + ms(100);
+                self.push(at, Event::ToNode(node, epoch, Input::Cloud { call, reply }));
+            }
+            Event::AtWorker(name, message) => self.at_worker(name, message),
+            Event::WorkerTick(name) => self.worker_tick(&name),
+            Event::Answered(node, epoch, request, answer) => {
+                if let Some(asker) = self.asked.remove(&(node, epoch, request)) {
+                    self.answered(node, asker, answer);
+                }
+            }
+            Event::User(i) => self.user(i),
+            Event::Trouble => self.trouble(),
+            Event::Restart(node) => self.restart(node),
+            Event::OutageEnds => {
+                self.outage = false;
+                self.state.outage_over(self.now);
+            }
+        }
+    }
+
+    fn at_state(&mut self, node: usize, epoch: u64, call: CallId, request: StateRequest) {
+        let now = self.now;
+        let reply = if self.outage || self.refused[node] > now {
+            StateReply::Refused { retry: None }
+        } else {
+            let request = self.tampered(request);
+            let before = self.state.revision();
+            let reply = match (&request, self.sabotage) {
+                (StateRequest::Watch { after, wait, .. }, Sabotage::UnprovenAnswers)
+                    if wait.is_zero() =>
+                {
+                    Some(StateReply::Events {
+                        events: Vec::new(),
+                        revision: *after,
+                    })
+                }
+                _ => self.state.call(now, &request),
+            };
+            if self.state.revision() != before {
+                self.wake_watches();
+            }
+            match reply {
+                Some(reply) => reply,
+                None => {
+                    self.watches
+                        .push((node, epoch, call, request, now + ms(9000)));
+                    return;
+                }
+            }
+        };
+        self.reply_state(node, epoch, call, reply);
+    }
+
+    fn wake_watches(&mut self) {
+        for (node, epoch, call, request, until) in std::mem::take(&mut self.watches) {
+            if self.now >= until {
+                continue;
+            }
+            match self.state.call(self.now, &request) {
+                Some(reply) => self.reply_state(node, epoch, call, reply),
+                None => self.watches.push((node, epoch, call, request, until)),
+            }
+        }
+    }
+
+    fn reply_state(&mut self, node: usize, epoch: u64, call: CallId, mut reply: StateReply) {
+        let mut at = self.now + self.delay();
+        if let StateReply::Events { events, .. } = &mut reply {
+            match self.sabotage {
+                Sabotage::DeafForCancellations => {
+                    events.retain(|e| e.value.is_some() || !e.key.starts_with("live/job"));
+                }
+                Sabotage::UnprovenAnswers if !events.is_empty() => at += ms(6000),
+                _ => {}
+            }
+        }
+        // Some answers are lost on their way.
+        if self.rng.random_range(0..200) != 0 {
+            self.push(at, Event::ToNode(node, epoch, Input::State { call, reply }));
+        }
+    }
+
+    fn tampered(&self, mut request: StateRequest) -> StateRequest {
+        if let (Sabotage::ForgetEnds, StateRequest::Txn { changes, .. }) =
+            (self.sabotage, &mut request)
+        {
+            changes.retain(|c| !matches!(c, Change::Put { key, .. } if key.starts_with("final/")));
+        }
+        request
+    }
+
+    // The cloud.
+
+    fn cloud(&mut self, request: CloudRequest) -> CloudReply {
+        if self.now < self.cloud_away {
+            return CloudReply::Refused;
+        }
+        match request {
+            CloudRequest::Types => CloudReply::Types(vec![MachineType {
+                name: Arc::from("m"),
+                size: Resources {
+                    cpus: CPUS,
+                    gpus: 0.0,
+                    memory_gb: 64.0,
+                },
+                cache_gb: 5.0,
+                fetch_gb_per_s: 1.0,
+                price: 1.0,
+                spot_price: 0.4,
+                boot_s: 4.0,
+                zones: ZONES.iter().map(|z| Arc::from(*z)).collect(),
+            }]),
+            CloudRequest::List { .. } => {
+                let listed = |id: &String, zone: usize, spot: bool, state| ListedMachine {
+                    id: Arc::from(id.as_str()),
+                    machine_type: Arc::from("m"),
+                    zone: Arc::from(ZONES[zone]),
+                    spot,
+                    state,
+                    age: ms(5000),
+                };
+                let mut machines: Vec<ListedMachine> = self
+                    .workers
+                    .iter()
+                    .map(|(id, w)| listed(id, w.zone, w.spot, ListedState::Running))
+                    .collect();
+                let booting = self.booting.iter();
+                machines.extend(booting.map(|(id, b)| listed(id, b.0, b.1, ListedState::Booting)));
+                CloudReply::Machines {
+                    machines,
+                    more: false,
+                }
+            }
+            CloudRequest::Rent(rental) => {
+                if let Some(names) = self.rentals.get(&rental.request) {
+                    return CloudReply::Rented(names.clone());
+                }
+                let zone = ZONES
+                    .iter()
+                    .position(|z| **z == *rental.zone)
+                    .expect("a zone");
+                let mut names = Vec::new();
+                for _ in 0..rental.count {
+                    if self.workers.len() + self.booting.len() < MACHINES_MOST {
+                        let boot = ms(self.rng.random_range(500..6_000));
+                        names.push(Arc::from(self.rent(zone, rental.spot, boot)));
+                    }
+                }
+                if names.is_empty() {
+                    return CloudReply::NoCapacity;
+                }
+                self.rentals.insert(rental.request, names.clone());
+                CloudReply::Rented(names)
+            }
+            CloudRequest::Release { machines } => {
+                for id in machines {
+                    self.booting.remove(&*id);
+                    self.remove_worker(&id);
+                }
+                CloudReply::Released
+            }
+        }
+    }
+
+    fn rent(&mut self, zone: usize, spot: bool, boot: Duration) -> String {
+        self.next_machine += 1;
+        let name = format!("vm-{:06}", self.next_machine);
+        self.booting
+            .insert(name.clone(), (zone, spot, self.now + boot));
+        self.push(self.now + boot, Event::WorkerTick(name.clone()));
+        name
+    }
+
+    fn remove_worker(&mut self, name: &str) {
+        if let Some(worker) = self.workers.remove(name) {
+            for ((task, _), t) in worker.tasks {
+                if t.phase.on_machine() {
+                    self.observer.gone(&task, name, false);
+                }
+            }
+        }
+    }
+
+    // Workers.
+
+    fn spec(&self, task: &TaskId) -> &JobSpec {
+        &self.job(task).spec
+    }
+
+    fn job(&self, task: &TaskId) -> &Job {
+        let index: usize = task.job.as_str()[4..].parse().expect("a number");
+        &self.jobs[index]
+    }
+
+    fn worker_tick(&mut self, name: &str) {
+        let now = self.now;
+        if let Some((zone, spot, _)) = self.booting.remove(name) {
+            let pace = 1.0 - 5e-4 + self.rng.random_range(0..10) as f64 * 1e-4;
+            let node = self.rng.random_range(0..NODES);
+            self.workers.insert(
+                name.to_owned(),
+                Worker {
+                    zone,
+                    spot,
+                    session: 1,
+                    seq: 0,
+                    token: 0,
+                    tasks: BTreeMap::new(),
+                    lease_from: now,
+                    node,
+                    in_flight: None,
+                    next_report: now,
+                    last_sent: Duration::ZERO,
+                    hung_until: Duration::ZERO,
+                    pace,
+                    reports: 0,
+                    notice: None,
+                },
+            );
+        }
+        if !self.workers.contains_key(name) {
+            return;
+        }
+        // A hanging machine is back within its lease or has lost its tasks.
+        self.lease_check(name);
+        if self.workers[name].hung_until > now {
+            self.push(now + ms(50), Event::WorkerTick(name.to_owned()));
+            return;
+        }
+        self.run_tasks(name);
+        self.maybe_report(name);
+        self.push(now + ms(50), Event::WorkerTick(name.to_owned()));
+    }
+
+    fn lease_check(&mut self, name: &str) {
+        let now = self.now;
+        let worker = self.workers.get_mut(name).expect("known worker");
+        if (now - worker.lease_from).mul_f64(worker.pace) <= LEASE {
+            return;
+        }
+        worker.session += 1;
+        worker.lease_from = now;
+        worker.in_flight = None;
+        worker.next_report = now;
+        for ((task, _), t) in std::mem::take(&mut worker.tasks) {
+            if t.phase.on_machine() {
+                self.observer.gone(&task, name, false);
+            }
+        }
+    }
+
+    fn run_tasks(&mut self, name: &str) {
+        let now = self.now;
+        let keys: Vec<(TaskId, u64)> = self.workers[name].tasks.keys().cloned().collect();
+        let mut changed = false;
+        for key in keys {
+            let spec = self.spec(&key.0).clone();
+            let faulty = self.job(&key.0).faulty;
+            let (phase, until) = {
+                let t = &self.workers[name].tasks[&key];
+                (t.phase, t.until)
+            };
+            let whole = || {
+                let with = |w: &Worker| {
+                    w.tasks
+                        .iter()
+                        .filter(|((t, a), x)| {
+                            t.job == key.0.job && *a == key.1 && x.phase.on_machine()
+                        })
+                        .count()
+                };
+                self.workers.values().map(with).sum::<usize>() == spec.tasks as usize
+            };
+            let runs_until = match spec.kind {
+                Kind::Service => LENGTH * 2,
+                _ => now + ms(1500 + u64::from(key.0.index % 7) * 700),
+            };
+            let next = match phase {
+                TaskPhase::Fetching if now >= until => {
+                    let (zone, spot) = (self.workers[name].zone, self.workers[name].spot);
+                    let running = Running {
+                        spec: spec.clone(),
+                        machine: name.to_owned(),
+                        zone: ZONES[zone].to_owned(),
+                        spot,
+                    };
+                    self.observer.started(now, &key.0, running);
+                    if self.results.contains(&key.0) {
+                        Some((TaskPhase::Exited(Why::Done), now))
+                    } else if spec.kind == Kind::Gang {
+                        Some((TaskPhase::Waiting, now + GANG_WAIT))
+                    } else {
+                        Some((TaskPhase::Running, runs_until))
+                    }
+                }
+                TaskPhase::Waiting if whole() => Some((TaskPhase::Running, now + ms(4000))),
+                TaskPhase::Waiting if now >= until => {
+                    // Running ones of its gang make it run too.
+                    Some((TaskPhase::Exited(Why::Incomplete), now))
+                }
+                TaskPhase::Running if faulty => Some((TaskPhase::Exited(Why::Error), now)),
+                TaskPhase::Running if spec.kind == Kind::Gang && !whole() && now < until => {
+                    Some((TaskPhase::Exited(Why::Peers), now))
+                }
+                TaskPhase::Running if now >= until => Some((TaskPhase::Exited(Why::Done), now)),
+                TaskPhase::Saving if now >= until => {
+                    Some((TaskPhase::Exited(Why::Stopped { saved: true }), now))
+                }
+                _ => None,
+            };
+            let Some((phase, until)) = next else { continue };
+            changed = true;
+            if phase.exited() {
+                let done = phase == TaskPhase::Exited(Why::Done);
+                if done {
+                    // The tasks of a gang complete together.
+                    let all = if spec.kind == Kind::Gang {
+                        0..spec.tasks
+                    } else {
+                        key.0.index..key.0.index + 1
+                    };
+                    for index in all {
+                        let task = TaskId {
+                            job: key.0.job.clone(),
+                            index,
+                        };
+                        self.results.insert(task.clone());
+                        self.observer.gone(&task, "", true);
+                    }
+                }
+                self.observer.gone(&key.0, name, done);
+            }
+            let worker = self.workers.get_mut(name).expect("known worker");
+            worker.tasks.insert(key, WTask { phase, until });
+        }
+        if changed {
+            self.hurry(name);
+        }
+    }
+
+    fn hurry(&mut self, name: &str) {
+        let worker = self.workers.get_mut(name).expect("known worker");
+        worker.next_report = worker.next_report.min(worker.last_sent + ms(500));
+    }
+
+    fn report(&mut self, name: &str) -> WorkerReport {
+        let now = self.now;
+        let believe = self.sabotage == Sabotage::BelieveRunning;
+        let worker = self.workers.get_mut(name).expect("known worker");
+        worker.seq += 1;
+        WorkerReport {
+            machine: Arc::from(name),
+            addr: "127.0.0.1:9".parse().expect("an address"),
+            machine_type: Arc::from("m"),
+            zone: Arc::from(ZONES[worker.zone]),
+            spot: worker.spot,
+            session: worker.session,
+            seq: worker.seq,
+            token: worker.token,
+            notice_s: worker.notice.map(|at| at.saturating_sub(now).as_secs_f64()),
+            tasks: worker
+                .tasks
+                .iter()
+                .map(|((task, attempt), t)| ReportedTask {
+                    task: task.clone(),
+                    attempt: *attempt,
+                    phase: match t.phase {
+                        TaskPhase::Running if believe => TaskPhase::Exited(Why::Done),
+                        phase => phase,
+                    },
+                })
+                .collect(),
+        }
+    }
+
+    fn maybe_report(&mut self, name: &str) {
+        let now = self.now;
+        let worker = self.workers.get_mut(name).expect("known worker");
+        if let Some((_, sent)) = worker.in_flight {
+            if now < sent + Duration::from_secs(4) {
+                return;
+            }
+            worker.in_flight = None;
+            worker.node = (worker.node + 1) % NODES;
+            worker.next_report = now + ms(1000);
+        }
+        if now < worker.next_report {
+            return;
+        }
+        worker.reports += 1;
+        let id = worker.reports;
+        worker.in_flight = Some((id, now));
+        worker.last_sent = now;
+        let (node, zone) = (worker.node, worker.zone);
+        let report = self.report(name);
+        let at = match self.path(node, zone) {
+            Some(at) if self.nodes[node].is_some() => at,
+            _ => {
+                let worker = self.workers.get_mut(name).expect("known worker");
+                worker.in_flight = None;
+                worker.node = (worker.node + 1) % NODES;
+                worker.next_report = now + ms(1000);
+                return;
+            }
+        };
+        self.next_request += 1;
+        let request = self.next_request;
+        let epoch = self.epochs[node];
+        self.asked
+            .insert((node, epoch, request), Asker::Worker(name.to_owned(), id));
+        self.push(
+            at,
+            Event::ToNode(node, epoch, Input::Report { request, report }),
+        );
+    }
+
+    fn at_worker(&mut self, name: String, message: ToWorker) {
+        let now = self.now;
+        let Some(worker) = self.workers.get(&name) else {
+            return;
+        };
+        if worker.hung_until > now {
+            // A hanging machine gets it when it resumes, before anything else.
+            let at = worker.hung_until;
+            self.push(at, Event::AtWorker(name, message));
+            return;
+        }
+        self.lease_check(&name);
+        match message {
+            ToWorker::Answer(id, answer) => {
+                let worker = self.workers.get_mut(&name).expect("known worker");
+                let Some((in_flight, sent)) = worker.in_flight else {
+                    return;
+                };
+                if in_flight != id || now > sent + Duration::from_secs(4) {
+                    return;
+                }
+                worker.in_flight = None;
+                worker.next_report = now + REPORT;
+                match answer {
+                    Answer::Commands { token, commands } if token >= worker.token => {
+                        let news = token > worker.token;
+                        worker.token = token;
+                        worker.lease_from = sent;
+                        self.execute(&name, &commands);
+                        if news {
+                            self.hurry(&name);
+                        }
+                    }
+                    Answer::Commands { .. } => {}
+                    Answer::Redirect(Some(node)) => {
+                        worker.node = node[1..].parse().expect("a node's name");
+                        worker.next_report = now + ms(200);
+                    }
+                    _ => {
+                        worker.node = (worker.node + 1) % NODES;
+                        worker.next_report = now + ms(1000);
+                    }
+                }
+            }
+            ToWorker::Do(node, epoch, call, direct) => {
+                let worker = self.workers.get_mut(&name).expect("known worker");
+                let good = direct.token >= worker.token && direct.session == worker.session;
+                let zone = worker.zone;
+                if good {
+                    worker.token = direct.token;
+                    self.execute(&name, &direct.commands);
+                }
+                let report = self.report(&name);
+                let reply = match good {
+                    true => DirectReply::Executed(report),
+                    false => DirectReply::Refused(report),
+                };
+                if let Some(at) = self.path(node, zone) {
+                    self.push(
+                        at,
+                        Event::ToNode(node, epoch, Input::Direct { call, reply }),
+                    );
+                }
+            }
+        }
+    }
+
+    fn execute(&mut self, name: &str, commands: &[Command]) {
+        let now = self.now;
+        for command in commands {
+            match command {
+                Command::Start { task, attempt } => {
+                    let spec = self.spec(task).clone();
+                    let fetch = ms(self.rng.random_range(100..2500));
+                    let used: f64 = self.workers[name]
+                        .tasks
+                        .iter()
+                        .filter(|(_, t)| !t.phase.exited())
+                        .map(|((task, _), _)| self.spec(task).need.cpus)
+                        .sum();
+                    let worker = self.workers.get_mut(name).expect("known worker");
+                    let key = (task.clone(), *attempt);
+                    if worker.tasks.contains_key(&key) {
+                        continue;
+                    }
+                    let phase = if worker.tasks.keys().any(|(t, _)| t == task) {
+                        TaskPhase::Exited(Why::Busy)
+                    } else if used + spec.need.cpus > CPUS + 1e-6 {
+                        TaskPhase::Exited(Why::NoRoom)
+                    } else {
+                        TaskPhase::Fetching
+                    };
+                    let until = now + fetch;
+                    worker.tasks.insert(key, WTask { phase, until });
+                }
+                Command::Stop {
+                    task,
+                    attempt,
+                    grace,
+                } => {
+                    let spec = self.spec(task).clone();
+                    let worker = self.workers.get_mut(name).expect("known worker");
+                    let Some(t) = worker.tasks.get_mut(&(task.clone(), *attempt)) else {
+                        continue;
+                    };
+                    let save = Duration::from_secs_f64(spec.save_s);
+                    let had_image = t.phase.on_machine();
+                    match t.phase {
+                        TaskPhase::Exited(_) => continue,
+                        TaskPhase::Running if spec.checkpoint_s > 0.0 && *grace >= save => {
+                            t.phase = TaskPhase::Saving;
+                            t.until = now + save;
+                            continue;
+                        }
+                        TaskPhase::Saving if !grace.is_zero() => continue,
+                        _ => t.phase = TaskPhase::Exited(Why::Stopped { saved: false }),
+                    }
+                    if had_image {
+                        self.observer.gone(task, name, false);
+                    }
+                }
+                Command::Forget { task, attempt } => {
+                    let worker = self.workers.get_mut(name).expect("known worker");
+                    let key = (task.clone(), *attempt);
+                    if worker.tasks.get(&key).is_some_and(|t| t.phase.exited()) {
+                        worker.tasks.remove(&key);
+                    }
+                }
+            }
+        }
+        self.hurry(name);
+    }
+
+    // Users.
+
+    fn user(&mut self, i: usize) {
+        let now = self.now;
+        let again = now + ms(self.rng.random_range(1200..4000));
+        self.push(again, Event::User(i));
+        let node = self.rng.random_range(0..NODES);
+        if self.nodes[node].is_none() {
+            return;
+        }
+        let job = &self.jobs[i];
+        let withdraw = job.accepted && !job.over && job.withdraw_at.is_some_and(|at| now > at);
+        let stranger = self.rng.random_range(0..40) == 0;
+        let repeat = self.rng.random_range(0..25) == 0;
+        self.next_request += 1;
+        let request = self.next_request;
+        let id = job.spec.id.clone();
+        let (asking, input) = if stranger {
+            let id = JobId::parse(&format!("run-9{i:05}")).expect("an id");
+            (Asking::Stranger, Input::Status { request, id })
+        } else if !job.accepted || repeat {
+            let mut spec = job.spec.clone();
+            if self.sabotage == Sabotage::BlindForPlaces {
+                spec.zone = None;
+                spec.one_zone = false;
+                spec.spot = true;
+            }
+            let spec = Arc::new(spec);
+            (Asking::Submit, Input::Submit { request, spec })
+        } else if withdraw {
+            self.observer.withdrawn(&id);
+            (Asking::Withdraw, Input::Withdraw { request, id })
+        } else {
+            (Asking::Status, Input::Status { request, id })
+        };
+        let before = self.observer.state(&self.jobs[i].spec.id);
+        let epoch = self.epochs[node];
+        self.asked
+            .insert((node, epoch, request), Asker::User(i, asking, before));
+        let at = now + self.delay();
+        self.push(at, Event::ToNode(node, epoch, input));
+    }
+
+    fn answered(&mut self, node: usize, asker: Asker, answer: Answer) {
+        let now = self.now;
+        match asker {
+            Asker::Worker(name, id) => {
+                let Some(zone) = self.workers.get(&name).map(|w| w.zone) else {
+                    return;
+                };
+                if let Some(at) = self.path(node, zone) {
+                    self.push(at, Event::AtWorker(name, ToWorker::Answer(id, answer)));
+                }
+            }
+            Asker::User(i, asking, before) => {
+                let spec = self.jobs[i].spec.clone();
+                let state = match &answer {
+                    Answer::Accepted(_) => JobState::Pending,
+                    Answer::Known(_, state) | Answer::Status(_, state, _, _) => *state,
+                    Answer::NotFound => {
+                        if asking != Asking::Stranger {
+                            self.observer.not_found(now, &spec.id, before.is_some());
+                        }
+                        return;
+                    }
+                    Answer::Impossible(_) => {
+                        self.observer.rejected(now, &spec.id);
+                        // A job that can never run is asked for no more.
+                        self.jobs[i].over = true;
+                        return;
+                    }
+                    _ => return,
+                };
+                if asking == Asking::Stranger {
+                    self.observer.known_without_submission(now, &spec.id);
+                    return;
+                }
+                self.jobs[i].accepted = true;
+                self.jobs[i].over |= matches!(state, JobState::Done | JobState::Cancelled);
+                self.observer.told(now, &spec, state, before);
+            }
+        }
+    }
+
+    // Troubles.
+
+    fn trouble(&mut self) {
+        let now = self.now;
+        let names: Vec<String> = self.workers.keys().cloned().collect();
+        match self.rng.random_range(0..9) {
+            0 | 1 => {
+                let node = self.rng.random_range(0..NODES);
+                self.crash(node);
+            }
+            2 => (0..NODES).for_each(|node| self.crash(node)),
+            3 => {
+                self.outage = true;
+                let until = now + ms(self.rng.random_range(1000..15_000));
+                self.push(until, Event::OutageEnds);
+            }
+            4 => {
+                let node = self.rng.random_range(0..NODES);
+                self.refused[node] = now + ms(self.rng.random_range(5000..25_000));
+            }
+            5 => {
+                let reset = self.rng.random_bool(0.5);
+                let zone = self.rng.random_range(0..3);
+                let until = now + ms(self.rng.random_range(2000..14_000));
+                for node in 0..NODES {
+                    if node != zone && self.rng.random_bool(0.6) {
+                        self.cuts.push(Cut {
+                            node,
+                            zone,
+                            until,
+                            reset,
+                        });
+                    }
+                }
+            }
+            6 | 7 if !names.is_empty() => {
+                let name = &names[self.rng.random_range(0..names.len())];
+                // Just inside and just outside the lease as well.
+                let hang = ms([800, 3000, 4700, 5200, 9000][self.rng.random_range(0..5)]);
+                self.workers.get_mut(name).expect("known worker").hung_until = now + hang;
+            }
+            _ if !names.is_empty() => {
+                let name = names[self.rng.random_range(0..names.len())].clone();
+                self.remove_worker(&name);
+                self.cloud_away = now + ms(self.rng.random_range(0..10_000));
+            }
+            _ => {}
+        }
+    }
+
+    fn crash(&mut self, node: usize) {
+        if self.nodes[node].take().is_some() {
+            self.epochs[node] += 1;
+            let back = self.now + ms(self.rng.random_range(1500..5000));
+            self.push(back, Event::Restart(node));
+        }
+    }
+}
--- /dev/null
+++ b/tests/world/state.rs
@@ -0,0 +1,190 @@
+//! A plain stand-in of the state service, written from the protocol.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use kiteyard::core::store::{Change, Entry, Event, StateReply, StateRequest};
+use serde_json::value::RawValue;
+
+#[derive(Clone)]
+struct Key {
+    value: Box<RawValue>,
+    version: u64,
+    lease: Option<u64>,
+}
+
+struct Lease {
+    ttl: Duration,
+    ends: Duration,
+}
+
+#[derive(Default)]
+pub struct State {
+    revision: u64,
+    keys: BTreeMap<String, Key>,
+    leases: BTreeMap<u64, Lease>,
+    next_lease: u64,
+    log: Vec<Event>,
+}
+
+impl State {
+    /// The answer, or none where a watch has nothing to tell yet.
+    pub fn call(&mut self, now: Duration, request: &StateRequest) -> Option<StateReply> {
+        self.expire(now);
+        Some(match request {
+            StateRequest::Get { key } => match self.keys.get(key) {
+                Some(found) => StateReply::Entry(entry(key, found)),
+                None => StateReply::Missing,
+            },
+            StateRequest::List { prefix, after } => {
+                let all: Vec<Entry> = self
+                    .keys
+                    .iter()
+                    .filter(|(key, _)| key.starts_with(prefix))
+                    .filter(|(key, _)| after.as_ref().is_none_or(|after| *key > after))
+                    .map(|(key, found)| entry(key, found))
+                    .collect();
+                // Small pages, so that reading them in turn is tried out.
+                let more = all.len() > 7;
+                StateReply::Entries {
+                    entries: all.into_iter().take(7).collect(),
+                    more,
+                    revision: self.revision,
+                }
+            }
+            StateRequest::Txn {
+                conditions,
+                changes,
+            } => {
+                let expired = changes.iter().any(|change| match change {
+                    Change::Put {
+                        lease: Some(lease), ..
+                    } => !self.leases.contains_key(lease),
+                    _ => false,
+                });
+                let holds = conditions
+                    .iter()
+                    .all(|c| self.keys.get(&c.key).map_or(0, |k| k.version) == c.version);
+                if expired {
+                    StateReply::LeaseGone
+                } else if !holds {
+                    StateReply::Conflict
+                } else {
+                    self.revision += 1;
+                    for change in changes {
+                        self.apply(change);
+                    }
+                    StateReply::Committed {
+                        revision: self.revision,
+                    }
+                }
+            }
+            StateRequest::Grant { ttl } => {
+                self.next_lease += 1;
+                self.leases.insert(
+                    self.next_lease,
+                    Lease {
+                        ttl: *ttl,
+                        ends: now + *ttl,
+                    },
+                );
+                StateReply::Granted {
+                    lease: self.next_lease,
+                }
+            }
+            StateRequest::Renew { lease } => match self.leases.get_mut(lease) {
+                Some(lease) => {
+                    lease.ends = now + lease.ttl;
+                    StateReply::Renewed
+                }
+                None => StateReply::LeaseGone,
+            },
+            StateRequest::Watch {
+                prefix,
+                after,
+                wait,
+            } => {
+                let events: Vec<Event> = self
+                    .log
+                    .iter()
+                    .filter(|e| e.revision > *after && e.key.starts_with(prefix))
+                    .cloned()
+                    .collect();
+                if events.is_empty() && !wait.is_zero() {
+                    return None;
+                }
+                StateReply::Events {
+                    events,
+                    revision: self.revision,
+                }
+            }
+        })
+    }
+
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// After an outage every lease has its full time again.
+    pub fn outage_over(&mut self, now: Duration) {
+        for lease in self.leases.values_mut() {
+            lease.ends = now + lease.ttl;
+        }
+    }
+
+    pub fn expire(&mut self, now: Duration) {
+        let over: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|(_, lease)| lease.ends <= now)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in over {
+            self.leases.remove(&id);
+            let keys: Vec<String> = self
+                .keys
+                .iter()
+                .filter(|(_, key)| key.lease == Some(id))
+                .map(|(name, _)| name.clone())
+                .collect();
+            if !keys.is_empty() {
+                self.revision += 1;
+            }
+            for key in keys {
+                self.apply(&Change::Delete { key });
+            }
+        }
+    }
+
+    fn apply(&mut self, change: &Change) {
+        let (key, value) = match change {
+            Change::Put { key, value, lease } => {
+                let entry = Key {
+                    value: value.clone(),
+                    version: self.revision,
+                    lease: *lease,
+                };
+                self.keys.insert(key.clone(), entry);
+                (key, Some(value.clone()))
+            }
+            Change::Delete { key } => {
+                if self.keys.remove(key).is_none() {
+                    return;
+                }
+                (key, None)
+            }
+        };
+        self.log.push(Event {
+            key: key.clone(),
+            value,
+            revision: self.revision,
+        });
+    }
+}
+
+fn entry(key: &str, found: &Key) -> Entry {
+    Entry {
+        key: key.to_owned(),
+        value: found.value.clone(),
+        version: found.version,
+    }
+}
