--- a/src/core/sched.rs
+++ b/src/core/sched.rs
@@ -380,12 +380,23 @@
                 free = free.plus(&p.need);
             } else if let Some(victim) = &p.spec
                 && victim.id != spec.id
-                && self.may_stop(view, spec, victim)
             {
                 candidates.push((key.clone(), victim.clone(), p.since));
-                free = free.plus(&p.need);
             }
         }
+        // The newest first, so that a team loses those beyond its guarantee.
+        candidates.sort_by(|a, b| (b.2, &b.0).cmp(&(a.2, &a.0)));
+        let reclaims = self.within_guarantee(view, spec);
+        let mut leaving = view.leaving.clone();
+        candidates.retain(|(_, victim, _)| {
+            let may = victim.priority < spec.priority
+                || (reclaims && self.may_reclaim(view, &leaving, spec, victim));
+            if may {
+                add(&mut leaving, &victim.team, &victim.need);
+                free = free.plus(&victim.need);
+            }
+            may
+        });
         if !self.fits(view, room, spec, &free) {
             return None;
         }
@@ -420,28 +431,39 @@
         Some(plan)
     }
 
-    /// Lower priority, or work that another team runs beyond its guarantee where
-    /// this job is within its team's.
-    fn may_stop(&self, view: &View, spec: &JobSpec, victim: &JobSpec) -> bool {
-        if victim.priority < spec.priority {
-            return true;
+    /// One more task of the job, beside all that its team runs or has room held
+    /// for, is within the team's guarantee.
+    fn within_guarantee(&self, view: &View, spec: &JobSpec) -> bool {
+        let Some(team) = self.config.teams.get(&spec.team) else {
+            return false;
+        };
+        let mut sum = view.usage.get(&spec.team).copied().unwrap_or_default();
+        for job in self.jobs.values().filter(|j| j.spec.team == spec.team) {
+            sum = sum.plus_times(&job.spec.need, job.nominations.len() as f64);
         }
-        // Reclaiming from a higher priority would only be preempted back.
+        let sum = sum.plus(&spec.need);
+        sum.cpus <= team.cpus + 1e-6 && sum.gpus <= team.gpus + 1e-6
+    }
+
+    /// Work that another team runs beyond its guarantee, what leaves it put
+    /// aside. A higher priority is left alone: it would only preempt back.
+    fn may_reclaim(
+        &self,
+        view: &View,
+        leaving: &HashMap<Arc<str>, Resources>,
+        spec: &JobSpec,
+        victim: &JobSpec,
+    ) -> bool {
         if victim.priority > spec.priority || victim.team == spec.team {
             return false;
         }
-        let within = |team: &Arc<str>, extra: &Resources, times: f64| {
-            let Some(share) = self.config.teams.get(team) else {
-                return false;
-            };
-            let of =
-                |map: &HashMap<Arc<str>, Resources>| map.get(team).copied().unwrap_or_default();
-            let sum = of(&view.usage)
-                .minus(&of(&view.leaving))
-                .plus_times(extra, times);
-            sum.cpus <= share.cpus + 1e-6 && sum.gpus <= share.gpus + 1e-6
+        let Some(team) = self.config.teams.get(&victim.team) else {
+            return false;
         };
-        within(&spec.team, &spec.need, 1.0) && !within(&victim.team, &Resources::default(), 0.0)
+        let of = |map: &HashMap<Arc<str>, Resources>| map.get(&victim.team).copied();
+        let used = of(&view.usage).unwrap_or_default();
+        let stays = used.minus(&of(leaving).unwrap_or_default());
+        stays.cpus > team.cpus + 1e-6 || stays.gpus > team.gpus + 1e-6
     }
 
     /// More of a service's tasks would be stopping than its disruption budget allows.
--- /dev/null
+++ b/tests/scheduling.rs
@@ -0,0 +1,565 @@
+//! The scheduling rules: a slow plain model compared with the real core over
+//! random clusters, and the examples of the paper.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    sync::Arc,
+    time::Duration,
+};
+
+use kiteyard::{
+    core::{
+        config::{Config, Options},
+        job::{JobId, JobRecord, JobSpec, Kind, Priority, Resources, TaskId, TaskSet},
+        leader::{Found, Leader, Slot},
+        machine::{Command, MachineType, ReportedTask, TaskPhase, Why, WorkerReport},
+        mirror::LiveJob,
+    },
+    settings::Settings,
+};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+const SETTINGS: &str = r#"{
+  "label": "n0", "api_addr": "127.0.0.1:1", "cluster_listen": "127.0.0.1:2",
+  "outside": {"cloud": "127.0.0.1:3", "state": "127.0.0.1:4"},
+  "params": {
+    "zones": ["a", "b"],
+    "teams": [{"name": "red", "cpus": 8.0, "cpus_max": 1000.0}, {"name": "blue", "cpus": 4.0}],
+    "workers": {"report_s": 1.0, "lease_s": 10.0, "gang_wait_s": 30.0, "gang_peer_s": 5.0, "cancel_s": 30.0},
+    "state": {"rps": 80.0, "write_rps": 30.0, "value_kb": 16.0, "txn_ops": 16},
+    "cloud": {"rps": 8.0, "list_lag_s": 10.0},
+    "resources": {"sockets": 700}
+  }
+}"#;
+
+/// A leader with machines whose workers say what the test wants them to.
+struct Cluster {
+    leader: Leader,
+    now: Duration,
+    seq: u64,
+    running: BTreeMap<String, Vec<ReportedTask>>,
+    attempts: u64,
+}
+
+impl Cluster {
+    fn new(cpus: f64) -> Self {
+        let settings = Settings::parse(SETTINGS).expect("good settings");
+        let config = Config::new(&settings, Options::default());
+        let types = vec![MachineType {
+            name: Arc::from("m"),
+            size: amount(cpus),
+            cache_gb: 10.0,
+            fetch_gb_per_s: 1.0,
+            price: 1.0,
+            spot_price: 0.5,
+            boot_s: 30.0,
+            zones: vec![Arc::from("a"), Arc::from("b")],
+        }];
+        let found = Found {
+            jobs: &HashMap::new(),
+            progress: HashMap::new(),
+            roster: Vec::new(),
+            resolve_by: Duration::ZERO,
+        };
+        let now = Duration::from_secs(100);
+        Self {
+            leader: Leader::new(Arc::new(config), 5, Arc::new(types), found, now),
+            now,
+            seq: 0,
+            running: BTreeMap::new(),
+            attempts: 0,
+        }
+    }
+
+    fn machine(&mut self, name: &str) {
+        self.running.insert(name.to_owned(), Vec::new());
+        self.report(name);
+        let machine = self.leader.machines.get_mut(name).expect("met");
+        machine.enrolled = true;
+    }
+
+    fn report(&mut self, name: &str) -> Vec<Command> {
+        self.report_in_session(name, 1)
+    }
+
+    fn report_in_session(&mut self, name: &str, session: u64) -> Vec<Command> {
+        self.seq += 1;
+        self.now += Duration::from_millis(10);
+        let report = WorkerReport {
+            machine: Arc::from(name),
+            addr: "127.0.0.1:9".parse().expect("an address"),
+            machine_type: Arc::from("m"),
+            zone: Arc::from(if name.ends_with('b') { "b" } else { "a" }),
+            spot: false,
+            session,
+            seq: self.seq,
+            token: self.leader.token,
+            notice_s: None,
+            tasks: self.running[name].clone(),
+        };
+        let (_, commands) = self.leader.report(&report, self.now).expect("in time");
+        commands
+    }
+
+    fn job(&mut self, spec: JobSpec) -> JobId {
+        let id = spec.id.clone();
+        let live = LiveJob {
+            record: JobRecord {
+                spec: Arc::new(spec),
+                accepted_ms: self.seq,
+            },
+            version: 10 + self.seq,
+        };
+        self.seq += 1;
+        self.leader.add_job(&id, &live, TaskSet::default());
+        id
+    }
+
+    /// A task that runs there already.
+    fn runs(&mut self, name: &str, job: &JobId, index: u32) {
+        self.attempts += 1;
+        let task = ReportedTask {
+            task: TaskId {
+                job: job.clone(),
+                index,
+            },
+            attempt: self.attempts,
+            phase: TaskPhase::Running,
+        };
+        self.running.get_mut(name).expect("a machine").push(task);
+        self.report(name);
+    }
+
+    /// A task that runs there ends.
+    fn ends(&mut self, name: &str, job: &JobId, why: Why) {
+        let tasks = self.running.get_mut(name).expect("a machine");
+        for task in tasks.iter_mut().filter(|t| t.task.job == *job) {
+            task.phase = TaskPhase::Exited(why);
+        }
+        self.report(name);
+        let tasks = self.running.get_mut(name).expect("a machine");
+        tasks.retain(|t| t.task.job != *job);
+        self.report(name);
+    }
+
+    fn pass(&mut self) {
+        self.leader.pass(self.now);
+    }
+
+    fn on(&self, job: &JobId) -> Vec<String> {
+        let slots = &self.leader.jobs[job].slots;
+        let on = |slot: &Slot| match slot {
+            Slot::On(machine) => Some(machine.to_string()),
+            _ => None,
+        };
+        slots.iter().filter_map(on).collect()
+    }
+
+    fn nominated(&self, job: &JobId) -> Vec<String> {
+        let names = self.leader.jobs[job].nominations.iter();
+        names.map(|m| m.to_string()).collect()
+    }
+
+    fn victims(&self, name: &str) -> BTreeSet<TaskId> {
+        self.leader.machines[name]
+            .tasks
+            .iter()
+            .filter(|(_, p)| p.stopping())
+            .map(|((task, _), _)| task.clone())
+            .collect()
+    }
+}
+
+fn amount(cpus: f64) -> Resources {
+    Resources {
+        cpus,
+        gpus: 0.0,
+        memory_gb: 0.0,
+    }
+}
+
+fn spec(number: usize, kind: Kind, priority: Priority, tasks: u32, cpus: f64) -> JobSpec {
+    JobSpec {
+        id: JobId::parse(&format!("run-{number:06}")).expect("an id"),
+        class: Arc::from("work"),
+        team: Arc::from("red"),
+        kind,
+        priority,
+        tasks,
+        need: amount(cpus),
+        image: Arc::from("img"),
+        image_gb: 1.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: false,
+        estimate_s: 10.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    }
+}
+
+// The plain model: lists, no shortcuts.
+
+#[derive(Clone, Debug)]
+struct Task {
+    id: TaskId,
+    priority: Priority,
+    cpus: f64,
+    service: bool,
+    age: usize,
+}
+
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Score {
+    breaches: usize,
+    highest: Option<Priority>,
+    victims: usize,
+}
+
+fn model_plan(
+    cpus: f64,
+    tasks: &[Task],
+    priority: Priority,
+    need: f64,
+) -> Option<(Score, BTreeSet<TaskId>)> {
+    let used = |kept: &[&Task]| kept.iter().map(|t| t.cpus).sum::<f64>();
+    let mut kept: Vec<&Task> = tasks.iter().filter(|t| t.priority >= priority).collect();
+    if used(&kept) + need > cpus + 1e-6 {
+        return None;
+    }
+    // Of each service one task may be stopped, the newest; any further one
+    // breaks its budget.
+    let mut aside: Vec<&Task> = tasks.iter().filter(|t| t.priority < priority).collect();
+    aside.sort_by_key(|task| std::cmp::Reverse(task.age));
+    let mut seen = BTreeSet::new();
+    let mut marked: Vec<(&Task, bool)> = Vec::new();
+    for task in aside {
+        let breaks = task.service && !seen.insert(task.id.job.clone());
+        marked.push((task, breaks));
+    }
+    let mut victims = Vec::new();
+    while !marked.is_empty() {
+        // Budget-breaking first, then the highest priority, then the oldest.
+        let mut first = 0;
+        for i in 1..marked.len() {
+            let key = |(t, breaks): &(&Task, bool)| (*breaks, t.priority, usize::MAX - t.age);
+            if key(&marked[i]) > key(&marked[first]) {
+                first = i;
+            }
+        }
+        let (task, breaks) = marked.remove(first);
+        if used(&kept) + task.cpus + need <= cpus + 1e-6 {
+            kept.push(task);
+        } else {
+            victims.push((task, breaks));
+        }
+    }
+    let score = Score {
+        breaches: victims.iter().filter(|(_, breaks)| *breaks).count(),
+        highest: victims.iter().map(|(t, _)| t.priority).max(),
+        victims: victims.len(),
+    };
+    Some((score, victims.iter().map(|(t, _)| t.id.clone()).collect()))
+}
+
+#[test]
+fn the_core_agrees_with_the_plain_model() {
+    let (mut placed, mut preempted, mut parked) = (0, 0, 0);
+    for seed in 0..400 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let cpus = 8.0;
+        let mut cluster = Cluster::new(cpus);
+        let names: Vec<String> = (0..rng.random_range(2..6))
+            .map(|i| format!("vm-{i}"))
+            .collect();
+        names.iter().for_each(|name| cluster.machine(name));
+        let mut model: BTreeMap<String, Vec<Task>> = BTreeMap::new();
+        let priorities = [
+            Priority::Low,
+            Priority::Normal,
+            Priority::High,
+            Priority::Production,
+        ];
+        let mut age = 0;
+        for number in 0..rng.random_range(4..14) {
+            let kind = if rng.random_bool(0.5) {
+                Kind::Service
+            } else {
+                Kind::Array
+            };
+            let need = f64::from(rng.random_range(1..5u32));
+            let priority = priorities[rng.random_range(0..4)];
+            let tasks = rng.random_range(1..5);
+            let mut homes = Vec::new();
+            for index in 0..tasks {
+                let name = &names[rng.random_range(0..names.len())];
+                let there = model.entry(name.clone()).or_default();
+                if there.iter().map(|t| t.cpus).sum::<f64>() + need <= cpus {
+                    age += 1;
+                    let job = JobId::parse(&format!("run-{number:06}")).expect("an id");
+                    there.push(Task {
+                        id: TaskId {
+                            job,
+                            index: homes.len() as u32,
+                        },
+                        priority,
+                        cpus: need,
+                        service: kind == Kind::Service,
+                        age,
+                    });
+                    homes.push(name.clone());
+                    let _ = index;
+                }
+            }
+            if !homes.is_empty() {
+                let id = cluster.job(spec(number, kind, priority, homes.len() as u32, need));
+                for (index, name) in homes.iter().enumerate() {
+                    cluster.runs(name, &id, index as u32);
+                }
+            }
+        }
+        let priority = priorities[rng.random_range(0..4)];
+        let need = f64::from(rng.random_range(1..9u32));
+        let job = cluster.job(spec(900, Kind::Array, priority, 1, need));
+        cluster.pass();
+
+        let tasks = |name: &String| model.get(name).cloned().unwrap_or_default();
+        let free = |name: &String| cpus - tasks(name).iter().map(|t| t.cpus).sum::<f64>();
+        let fits: Vec<&String> = names.iter().filter(|n| free(n) + 1e-6 >= need).collect();
+        let stopped: usize = names.iter().map(|n| cluster.victims(n).len()).sum();
+        if !fits.is_empty() {
+            placed += 1;
+            assert!(
+                fits.iter().any(|n| cluster.on(&job) == [n.as_str()]),
+                "seed {seed}"
+            );
+            assert_eq!(stopped, 0, "seed {seed}");
+            continue;
+        }
+        let plans = names
+            .iter()
+            .filter_map(|n| Some((n, model_plan(cpus, &tasks(n), priority, need)?)));
+        let plans: BTreeMap<&String, (Score, BTreeSet<TaskId>)> = plans.collect();
+        assert!(cluster.on(&job).is_empty(), "seed {seed}");
+        let Some(best) = plans.values().map(|(score, _)| score).min() else {
+            parked += 1;
+            assert!(cluster.nominated(&job).is_empty(), "seed {seed}");
+            assert_eq!(stopped, 0, "seed {seed}");
+            continue;
+        };
+        preempted += 1;
+        let [name] = &cluster.nominated(&job)[..] else {
+            panic!("seed {seed}: one nomination expected");
+        };
+        let (score, victims) = &plans[name];
+        assert_eq!(score, best, "seed {seed}");
+        assert_eq!(*victims, cluster.victims(name), "seed {seed}");
+        assert_eq!(stopped, victims.len(), "seed {seed}");
+    }
+    assert!(
+        placed > 50 && preempted > 50 && parked > 20,
+        "{placed} {preempted} {parked}"
+    );
+}
+
+/// Example 1 of the paper: the lower pod must not take what the higher one waits for.
+#[test]
+fn a_nomination_holds_room_against_lower_priorities() {
+    let mut c = Cluster::new(10.0);
+    c.machine("vm-1");
+    let a = c.job(spec(1, Kind::Array, Priority::Normal, 1, 5.0));
+    let b = c.job(spec(2, Kind::Array, Priority::Normal, 1, 5.0));
+    c.runs("vm-1", &a, 0);
+    c.runs("vm-1", &b, 0);
+    let high = c.job(spec(3, Kind::Array, Priority::Production, 1, 10.0));
+    let low = c.job(spec(4, Kind::Array, Priority::Low, 1, 2.0));
+    c.pass();
+    assert_eq!(c.nominated(&high), ["vm-1"]);
+    assert_eq!(c.victims("vm-1").len(), 2);
+    // One victim is gone: there is room for the low one, but it is held.
+    c.ends("vm-1", &b, Why::Stopped { saved: false });
+    c.pass();
+    assert_eq!((c.on(&high), c.on(&low)), (vec![], vec![]));
+    assert_eq!(c.nominated(&high), ["vm-1"]);
+    c.ends("vm-1", &a, Why::Stopped { saved: false });
+    c.pass();
+    assert_eq!(c.on(&high), ["vm-1"]);
+    assert!(c.on(&low).is_empty());
+}
+
+/// Example 2: a nominated job goes wherever it fits first.
+#[test]
+fn a_nominated_job_may_go_elsewhere() {
+    let mut c = Cluster::new(10.0);
+    c.machine("vm-1");
+    c.machine("vm-2");
+    let victim = c.job(spec(1, Kind::Array, Priority::Normal, 1, 10.0));
+    let other = c.job(spec(2, Kind::Array, Priority::Production, 1, 10.0));
+    c.runs("vm-1", &victim, 0);
+    c.runs("vm-2", &other, 0);
+    let high = c.job(spec(3, Kind::Array, Priority::High, 1, 10.0));
+    c.pass();
+    assert_eq!(c.nominated(&high), ["vm-1"]);
+    c.ends("vm-2", &other, Why::Done);
+    c.pass();
+    assert_eq!(c.on(&high), ["vm-2"]);
+    assert!(c.nominated(&high).is_empty());
+}
+
+/// Example 4: a higher nomination clears a lower one that no longer fits.
+#[test]
+fn a_higher_nomination_clears_a_lower_one() {
+    let mut c = Cluster::new(10.0);
+    c.machine("vm-1");
+    let victim = c.job(spec(1, Kind::Array, Priority::Low, 1, 10.0));
+    c.runs("vm-1", &victim, 0);
+    let middle = c.job(spec(2, Kind::Array, Priority::Normal, 1, 10.0));
+    c.pass();
+    assert_eq!(c.nominated(&middle), ["vm-1"]);
+    let high = c.job(spec(3, Kind::Array, Priority::High, 1, 10.0));
+    c.pass();
+    assert_eq!(c.nominated(&high), ["vm-1"]);
+    assert!(c.nominated(&middle).is_empty());
+    c.ends("vm-1", &victim, Why::Stopped { saved: false });
+    c.pass();
+    assert_eq!((c.on(&high), c.on(&middle)), (vec!["vm-1".into()], vec![]));
+}
+
+#[test]
+fn a_gang_is_placed_and_stopped_whole() {
+    let mut c = Cluster::new(4.0);
+    c.machine("vm-1");
+    c.machine("vm-2");
+    let gang = c.job(spec(1, Kind::Gang, Priority::Normal, 3, 4.0));
+    c.pass();
+    assert!(c.on(&gang).is_empty(), "two machines hold no gang of three");
+    c.machine("vm-3");
+    c.pass();
+    assert_eq!(c.on(&gang).len(), 3);
+    for name in ["vm-1", "vm-2", "vm-3"] {
+        let (task, attempt) = c.leader.machines[name]
+            .tasks
+            .keys()
+            .next()
+            .expect("a task")
+            .clone();
+        let phase = TaskPhase::Running;
+        c.running
+            .get_mut(name)
+            .expect("a machine")
+            .push(ReportedTask {
+                task,
+                attempt,
+                phase,
+            });
+        c.report(name);
+    }
+    let high = c.job(spec(2, Kind::Array, Priority::High, 1, 1.0));
+    c.pass();
+    assert_eq!(c.nominated(&high).len(), 1);
+    let stopping = ["vm-1", "vm-2", "vm-3"].map(|n| c.victims(n).len());
+    assert_eq!(stopping, [1, 1, 1]);
+}
+
+#[test]
+fn a_team_reclaims_its_guarantee_from_an_equal_priority() {
+    let mut c = Cluster::new(16.0);
+    c.machine("vm-1");
+    // Red uses 16 of its guaranteed 8; blue has 4 and uses none.
+    let red = c.job(spec(1, Kind::Array, Priority::Normal, 4, 4.0));
+    (0..4).for_each(|i| c.runs("vm-1", &red, i));
+    let blue = JobSpec {
+        team: Arc::from("blue"),
+        ..spec(2, Kind::Array, Priority::Normal, 2, 4.0)
+    };
+    let blue = c.job(blue);
+    c.pass();
+    // One task of it is within the guarantee, the second is not.
+    assert_eq!(c.nominated(&blue), ["vm-1"]);
+    assert_eq!(c.victims("vm-1").len(), 1);
+}
+
+/// A placement that exited but was not forgotten yet must not be counted again
+/// when the worker's session ends: its task may run elsewhere by then.
+#[test]
+fn an_exited_placement_does_not_free_its_task_twice() {
+    let mut c = Cluster::new(4.0);
+    c.machine("vm-1");
+    let job = c.job(spec(1, Kind::Array, Priority::Normal, 1, 4.0));
+    c.runs("vm-1", &job, 0);
+    c.running.get_mut("vm-1").expect("a machine")[0].phase = TaskPhase::Exited(Why::Error);
+    c.report("vm-1");
+    c.machine("vm-2");
+    c.pass();
+    assert_eq!(c.on(&job), ["vm-2"]);
+    c.running.insert("vm-1".into(), Vec::new());
+    c.report_in_session("vm-1", 2);
+    c.pass();
+    assert_eq!(c.on(&job), ["vm-2"]);
+    let starts: usize = c.leader.machines.values().map(|m| m.tasks.len()).sum();
+    assert_eq!(starts, 1);
+}
+
+/// A result is forgotten by its worker only once it is stored.
+#[test]
+fn a_result_is_kept_at_the_worker_until_it_is_stored() {
+    let mut c = Cluster::new(4.0);
+    c.machine("vm-1");
+    let job = c.job(spec(1, Kind::Array, Priority::Normal, 2, 2.0));
+    c.runs("vm-1", &job, 0);
+    c.running.get_mut("vm-1").expect("a machine")[0].phase = TaskPhase::Exited(Why::Done);
+    assert!(
+        !c.report("vm-1")
+            .iter()
+            .any(|command| matches!(command, Command::Forget { .. }))
+    );
+    c.leader
+        .jobs
+        .get_mut(&job)
+        .expect("the job")
+        .saved
+        .insert(0);
+    assert!(
+        c.report("vm-1")
+            .iter()
+            .any(|command| matches!(command, Command::Forget { .. }))
+    );
+}
+
+/// A start that was sent straight and not answered may be executed late: only a
+/// report under a higher token shows that it never will be.
+#[test]
+fn an_unclear_direct_start_is_void_only_under_a_higher_token() {
+    use kiteyard::core::machine::DirectReply;
+    let mut c = Cluster::new(4.0);
+    c.machine("vm-1");
+    let job = c.job(spec(1, Kind::Array, Priority::Normal, 1, 4.0));
+    c.pass();
+    let direct = c.leader.direct_commands(c.now).expect("a start to send");
+    assert_eq!(direct.commands.len(), 1);
+    c.leader.direct_reply(&direct, DirectReply::Unclear, c.now);
+    c.report("vm-1");
+    c.report("vm-1");
+    assert_eq!(c.on(&job), ["vm-1"], "it may still be executed");
+    // The worker has seen the raised token, and has no such task.
+    let raised = c.leader.machines["vm-1"].token;
+    assert!(raised > direct.token);
+    c.seq += 1;
+    let report = WorkerReport {
+        machine: Arc::from("vm-1"),
+        addr: "127.0.0.1:9".parse().expect("an address"),
+        machine_type: Arc::from("m"),
+        zone: Arc::from("a"),
+        spot: false,
+        session: 1,
+        seq: c.seq,
+        token: raised,
+        notice_s: None,
+        tasks: Vec::new(),
+    };
+    c.leader.report(&report, c.now);
+    assert!(c.on(&job).is_empty());
+}
