Order equals by what is expected of them; the image decides among equal plans

Cause: both deployments run at full capacity for minutes; first come, first served made small jobs wait behind large ones that were late either way.

--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -127,6 +127,11 @@
     attempts: u64,
     pub next_pass: Duration,
     pub counts: Counts,
+    next_log: Duration,
+    /// The time of day.
+    pub wall_ms: u64,
+    /// How far run times of a class are from their estimates, as a logarithm.
+    pub seen: HashMap<Arc<str>, f64>,
     /// Machines that are gone, to be taken off the stored roster.
     pub departed: Vec<MachineId>,
     /// Stored results of jobs that are over.
@@ -187,6 +192,9 @@
             attempts: claim << 24,
             next_pass: Duration::ZERO,
             counts: Counts::default(),
+            next_log: Duration::ZERO,
+            wall_ms: 0,
+            seen: HashMap::new(),
             departed: Vec::new(),
             garbage: Vec::new(),
             types,
@@ -545,6 +553,9 @@
             return;
         }
         placement.phase = Phase::Seen(phase);
+        if phase == TaskPhase::Running {
+            placement.running_since = Some(now);
+        }
         let placement = placement.clone();
         let has_image = phase.on_machine() || matches!(phase, TaskPhase::Exited(Why::Done));
         if has_image && let Some(spec) = &placement.spec {
@@ -562,6 +573,9 @@
             }
         }
         if let TaskPhase::Exited(why) = phase {
+            if let (Why::Done, Some(since)) = (why, placement.running_since) {
+                self.learn(&key.0.job, now - since);
+            }
             let machine = self.machines.get_mut(id).expect("known machine");
             if !machine.busy() {
                 machine.idle_since = now;
@@ -608,6 +622,7 @@
                 need: spec.as_ref().map_or(machine.size, |spec| spec.need),
                 spec,
                 since: now,
+                running_since: None,
                 stop,
                 foreign: !ours,
             },
@@ -844,14 +859,56 @@
                 need: job.spec.need,
                 spec: Some(job.spec.clone()),
                 since: now,
+                running_since: None,
                 stop: None,
                 foreign: false,
             },
         );
     }
 
+    /// How things stand, for the log.
+    fn log_counts(&mut self, now: Duration) {
+        if now < self.next_log {
+            return;
+        }
+        self.next_log = now + Duration::from_secs(5);
+        let up: Vec<&Machine> = self
+            .machines
+            .values()
+            .filter(|m| m.standing == Standing::Up)
+            .collect();
+        let booting = self.machines.len() - up.len();
+        let cpus: f64 = up.iter().map(|m| m.size.cpus).sum();
+        let free: f64 = up.iter().map(|m| m.free().cpus).sum();
+        let fetching: usize = up.iter().map(|m| m.fetching()).sum();
+        let waiting: u32 = self.jobs.values().map(|j| j.waiting_count()).sum();
+        let Counts {
+            starts,
+            victims,
+            nominations,
+            cleared,
+            lost,
+        } = self.counts;
+        debug!(
+            up = up.len(),
+            booting,
+            cpus,
+            free,
+            fetching,
+            jobs = self.jobs.len(),
+            waiting,
+            starts,
+            victims,
+            nominations,
+            cleared,
+            lost,
+            "counts"
+        );
+    }
+
     /// What time brings: leases that are over, and silent machines proven empty.
     pub fn tick(&mut self, now: Duration) {
+        self.log_counts(now);
         let lease = self.config.worker_lease_bound;
         let lost: Vec<MachineId> = self
             .machines
--- a/src/core/machine.rs
+++ b/src/core/machine.rs
@@ -159,6 +159,7 @@
     /// What it holds; a task of an unknown job is taken to hold the whole machine.
     pub need: Resources,
     pub since: Duration,
+    pub running_since: Option<Duration>,
     /// Set when the task was told to stop: the grace, and when.
     pub stop: Option<Stop>,
     /// The task is of a job that is over or unknown, or runs elsewhere.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -9,6 +9,7 @@
 pub mod leader;
 pub mod machine;
 pub mod mirror;
+pub mod order;
 pub mod queue;
 pub mod relay;
 pub mod saves;
@@ -314,6 +315,7 @@
         let Some(leader) = &mut self.leader else {
             return;
         };
+        leader.wall_ms = self.clock.wall_ms;
         leader.tick(now);
         if leader.queue.dirty && now >= leader.next_pass {
             leader.pass(now);
--- /dev/null
+++ b/src/core/order.rs
@@ -0,0 +1,144 @@
+//! The order among jobs of equal priority: as many as possible in time.
+//!
+//! Jobs are taken by the time they are due; where that leaves one late, the one
+//! with the most work is put back (Moore and Hodgson), since it is late either
+//! way and would make many small ones late too. Those put back follow, again by
+//! the next time that is expected of them, and then the smallest first.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use super::{
+    job::{JobId, Kind},
+    leader::{Job, Leader},
+};
+
+/// A finite job as far as its order is concerned. Times in seconds from now.
+struct Entry {
+    id: JobId,
+    /// CPU seconds that are left.
+    work: f64,
+    /// The least time it still takes.
+    least: f64,
+    dues: Vec<f64>,
+}
+
+/// A job that is later than this many times its due time goes first at last.
+const STARVED: f64 = 6.0;
+
+impl Leader {
+    /// Places of the waiting jobs, the first one lowest.
+    pub fn order(&self) -> HashMap<JobId, usize> {
+        let mut first: Vec<(&JobId, &Job)> = Vec::new();
+        let mut left: Vec<Entry> = Vec::new();
+        for (id, job) in self.jobs.iter().filter(|(_, job)| job.waiting_count() > 0) {
+            match self.entry(id, job) {
+                Some(entry) => left.push(entry),
+                None => first.push((id, job)),
+            }
+        }
+        first.sort_by_key(|(id, job)| (job.accepted_ms, job.version, (*id).clone()));
+        let mut order: Vec<JobId> = first.into_iter().map(|(id, _)| id.clone()).collect();
+        let capacity = self.finite_cpus().max(1.0);
+        let mut ahead = 0.0;
+        for round in 0..2 {
+            let (mut taken, mut late) = (Vec::new(), Vec::new());
+            left.sort_by(|a, b| {
+                let due = |e: &Entry| e.dues.get(round).copied().unwrap_or(f64::INFINITY);
+                due(a).total_cmp(&due(b)).then_with(|| a.id.cmp(&b.id))
+            });
+            for entry in left {
+                let Some(due) = entry.dues.get(round).copied().filter(|d| entry.least <= *d) else {
+                    late.push(entry);
+                    continue;
+                };
+                ahead += entry.work;
+                taken.push(entry);
+                if ahead / capacity > due {
+                    let largest = (0..taken.len())
+                        .max_by(|a, b| taken[*a].work.total_cmp(&taken[*b].work))
+                        .expect("just pushed");
+                    let put_back = taken.remove(largest);
+                    ahead -= put_back.work;
+                    late.push(put_back);
+                }
+            }
+            order.extend(taken.into_iter().map(|e| e.id));
+            left = late;
+        }
+        left.sort_by(|a, b| a.work.total_cmp(&b.work).then_with(|| a.id.cmp(&b.id)));
+        order.extend(left.into_iter().map(|e| e.id));
+        order
+            .into_iter()
+            .enumerate()
+            .map(|(i, id)| (id, i))
+            .collect()
+    }
+
+    /// None for jobs that go by the time they were accepted.
+    fn entry(&self, id: &JobId, job: &Job) -> Option<Entry> {
+        let spec = &job.spec;
+        if spec.kind != Kind::Array {
+            return None;
+        }
+        let age = self.wall_ms.saturating_sub(job.accepted_ms) as f64 / 1000.0;
+        let mut dues: Vec<f64> = match spec.deadline_s {
+            Some(deadline) => vec![deadline],
+            None => self
+                .config
+                .objectives
+                .iter()
+                .filter(|o| o.kind == "finished" && *o.class == *spec.class)
+                .map(|o| o.within_s)
+                .collect(),
+        };
+        dues.sort_by(f64::total_cmp);
+        if dues.last().is_some_and(|due| age > due * STARVED) {
+            return None;
+        }
+        let run = self.run_time(job);
+        dues.iter_mut().for_each(|due| *due -= age);
+        dues.retain(|due| *due >= run);
+        Some(Entry {
+            id: id.clone(),
+            work: spec.need.cpus * run * f64::from(spec.tasks - job.done_count),
+            least: run,
+            dues,
+        })
+    }
+
+    /// The owner's estimate, corrected by what was seen of the class.
+    pub fn run_time(&self, job: &Job) -> f64 {
+        let seen = self.seen.get(&job.spec.class).copied().unwrap_or_default();
+        (job.spec.estimate_s * seen.exp()).max(1.0)
+    }
+
+    /// A task of the class took `ran`, estimated at `estimate_s`.
+    pub fn learn(&mut self, job: &JobId, ran: Duration) {
+        let Some(job) = self.jobs.get(job) else {
+            return;
+        };
+        if job.spec.estimate_s > 0.0 && ran > Duration::ZERO {
+            let ratio = (ran.as_secs_f64() / job.spec.estimate_s)
+                .ln()
+                .clamp(-2.0, 2.0);
+            let seen = self.seen.entry(job.spec.class.clone()).or_insert(0.0);
+            *seen += (ratio - *seen) * 0.02;
+        }
+    }
+
+    /// CPUs that are up and not taken by work without an end.
+    fn finite_cpus(&self) -> f64 {
+        let mut sum = 0.0;
+        for machine in self.machines.values() {
+            if machine.standing == super::machine::Standing::Up {
+                sum += machine.size.cpus;
+                let endless = machine.tasks.values().filter(|p| {
+                    !p.exited() && p.spec.as_ref().is_none_or(|s| s.kind == Kind::Service)
+                });
+                sum -= endless.map(|p| p.need.cpus).sum::<f64>();
+            }
+        }
+        sum
+    }
+}
--- a/src/core/queue.rs
+++ b/src/core/queue.rs
@@ -34,6 +34,19 @@
         }
     }
 
+    /// Orders the heap anew: among equal priorities by the given places.
+    pub fn rank(&mut self, places: &HashMap<JobId, usize>) {
+        let heap = std::mem::take(&mut self.heap);
+        self.heap = heap
+            .into_iter()
+            .filter(|(_, _, Reverse(id))| self.queued.contains(id))
+            .map(|(priority, _, Reverse(id))| {
+                let place = places.get(&id).map_or(u64::MAX, |place| *place as u64);
+                (priority, Reverse((place, 0)), Reverse(id))
+            })
+            .collect();
+    }
+
     pub fn pop(&mut self) -> Option<JobId> {
         while let Some((_, _, Reverse(id))) = self.heap.pop() {
             if self.queued.remove(&id) {
--- a/src/core/sched.rs
+++ b/src/core/sched.rs
@@ -45,6 +45,8 @@
     breaches: usize,
     highest: Option<Priority>,
     freed: Resources,
+    /// About how long the image takes to arrive, in seconds.
+    fetch: f64,
 }
 
 impl Leader {
@@ -62,6 +64,8 @@
     pub fn pass(&mut self, now: Duration) {
         self.queue.dirty = false;
         self.next_pass = now + PASS_EVERY;
+        let places = self.order();
+        self.queue.rank(&places);
         let mut view = self.view(now);
         while let Some(id) = self.queue.pop() {
             let Some(job) = self.jobs.get(&id) else {
@@ -348,12 +352,11 @@
         (0..view.rooms.len())
             .filter_map(|i| self.plan(view, i, spec))
             .min_by(|a, b| {
-                (a.breaches, a.highest, a.victims.len(), a.room).cmp(&(
-                    b.breaches,
-                    b.highest,
-                    b.victims.len(),
-                    b.room,
-                ))
+                // Among machines that are disrupted alike, the one with the image.
+                (a.breaches, a.highest, a.victims.len())
+                    .cmp(&(b.breaches, b.highest, b.victims.len()))
+                    .then(a.fetch.total_cmp(&b.fetch))
+                    .then(a.room.cmp(&b.room))
             })
     }
 
@@ -416,6 +419,7 @@
             breaches: 0,
             highest: None,
             freed: Resources::default(),
+            fetch: self.fetch_time(machine, spec),
         };
         for (breaks, priority, _, key, victim) in budgeted {
             let without = free.minus(&victim.need);
