--- a/src/core/config.rs
+++ b/src/core/config.rs
@@ -10,7 +10,8 @@
 /// Choices of the operators.
 #[derive(Debug, Clone)]
 pub struct Options {
-    pub idle: Duration,
+    /// What an idle machine may cost before it is returned.
+    pub idle_cost: f64,
     pub grace: Duration,
     pub disruption_budget: u32,
 }
@@ -18,7 +19,7 @@
 impl Default for Options {
     fn default() -> Self {
         Self {
-            idle: Duration::from_secs(45),
+            idle_cost: 0.005,
             grace: Duration::from_secs(10),
             disruption_budget: 1,
         }
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -132,6 +132,8 @@
             .machines
             .values()
             .filter(|m| m.standing == Standing::Leaving && m.tasks.is_empty() && !m.unresolved)
+            // Off the roster first: a next leader need not wait for it then.
+            .filter(|m| !m.enrolled && !m.enrolling)
             .filter(|m| !self.fleet.releasing.contains(&m.id))
             .map(|m| m.id.clone())
             .take(100)
@@ -305,7 +307,7 @@
             .machines
             .values()
             .filter(|m| m.standing == Standing::Up && m.tasks.is_empty())
-            .filter(|m| now > m.idle_since + self.config.options.idle)
+            .filter(|m| now > m.idle_since + self.idle_time(&m.machine_type, m.spot))
             .max_by(|a, b| {
                 let price = |m: &super::machine::Machine| self.price(&m.machine_type, m.spot);
                 price(a).total_cmp(&price(b))
@@ -323,6 +325,16 @@
         spare_left.then(|| idle.id.clone())
     }
 
+    /// How long a machine may stay idle: as long as that costs little, and never
+    /// shorter than another one would take to boot.
+    fn idle_time(&self, machine_type: &str, spot: bool) -> Duration {
+        let boot = self.types.iter().find(|t| &*t.name == machine_type);
+        let boot = crate::settings::seconds(boot.map_or(0.0, |t| t.boot_s));
+        let per_second = self.price(machine_type, spot) / 3600.0;
+        let affordable = self.config.options.idle_cost / per_second.max(1e-9);
+        boot.max(Duration::from_secs_f64(affordable.min(3600.0)))
+    }
+
     /// The largest service of each class that is active.
     fn services(&self) -> Vec<Arc<JobSpec>> {
         let mut by_class: BTreeMap<Arc<str>, Arc<JobSpec>> = BTreeMap::new();
--- a/src/core/machine.rs
+++ b/src/core/machine.rs
@@ -235,7 +235,7 @@
     pub dead_session: u64,
     /// The worker has been seen to know this leader's token.
     pub fenced: bool,
-    /// Being stored in the roster.
+    /// Being put on the stored roster, or taken off it.
     pub enrolling: bool,
     /// Stored in the roster, so that a next leader knows of it.
     pub enrolled: bool,
--- a/src/core/saves.rs
+++ b/src/core/saves.rs
@@ -9,7 +9,7 @@
     BACK_OFF, Node, Purpose,
     config::Config,
     job::{FinalRecord, JobId, JobState, TaskSet},
-    machine::{MachineId, RosterRecord},
+    machine::{MachineId, RosterRecord, Standing},
     store::{
         Change, LEADER, StateReply, StateRequest, delete, final_key, job_key, machine_key,
         progress_key, put, when,
@@ -116,7 +116,7 @@
         let new: Vec<MachineId> = leader
             .machines
             .values()
-            .filter(|m| !m.enrolled && !m.enrolling && m.heard_at.is_some())
+            .filter(|m| !m.enrolled && !m.enrolling && m.standing == Standing::Up)
             .map(|m| m.id.clone())
             .take(most)
             .collect();
@@ -193,9 +193,23 @@
             return Some((Save::Progress { claim, id, set }, conditions, changes));
         }
 
-        if !leader.departed.is_empty() {
-            let count = leader.departed.len().min(most);
-            let machines: Vec<MachineId> = leader.departed.drain(..count).collect();
+        // Machines that are to be returned get no more tasks, so the roster can
+        // forget them; those that went by themselves are struck with them.
+        let mut machines: Vec<MachineId> = leader
+            .machines
+            .values()
+            .filter(|m| m.standing == Standing::Leaving && m.tasks.is_empty() && !m.unresolved)
+            .filter(|m| m.enrolled && !m.enrolling)
+            .map(|m| m.id.clone())
+            .take(most)
+            .collect();
+        let room = most - machines.len();
+        for id in &machines {
+            leader.machines.get_mut(id)?.enrolling = true;
+        }
+        let count = leader.departed.len().min(room);
+        machines.extend(leader.departed.drain(..count));
+        if !machines.is_empty() {
             let changes = machines.iter().map(|id| delete(machine_key(id))).collect();
             return Some((Save::Strike { claim, machines }, Vec::new(), changes));
         }
@@ -247,8 +261,15 @@
                 leader.requeue();
             }
             Save::Strike { machines, .. } => {
-                if !committed {
-                    leader.departed.extend(machines);
+                for id in machines {
+                    match leader.machines.get_mut(&id) {
+                        Some(machine) => {
+                            machine.enrolling = false;
+                            machine.enrolled &= !committed;
+                        }
+                        None if !committed => leader.departed.push(id),
+                        None => {}
+                    }
                 }
             }
             Save::Progress { id, set, .. } => {
