List jobs with machines before their starts: a take-over waits only for those

Each machine's roster entry now names the jobs that may have tasks there, written before the start; the write is conditional on the entry's revision, and until its answer only what is listed either way counts (found by the simulated world: a write that dropped a job was under way).

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -23,7 +23,7 @@
     pub log_level: tracing::Level,
 
     /// What an idle machine may cost before it is returned, in units of the prices
-    #[arg(long, env = "KITEYARD_IDLE_COST", default_value_t = 0.005, value_name = "COST", value_parser = cost)]
+    #[arg(long, env = "KITEYARD_IDLE_COST", default_value_t = 0.01, value_name = "COST", value_parser = cost)]
     pub idle_cost: f64,
 
     /// Grace in seconds for tasks stopped to make room
--- a/src/core/config.rs
+++ b/src/core/config.rs
@@ -19,7 +19,7 @@
 impl Default for Options {
     fn default() -> Self {
         Self {
-            idle_cost: 0.005,
+            idle_cost: 0.01,
             grace: Duration::from_secs(10),
             disruption_budget: 1,
         }
@@ -83,7 +83,7 @@
             leader_term: leader_ttl.mul_f64(1.0 - 2.0 * DRIFT).saturating_sub(margin),
             renew_every: (leader_ttl / 8).min(Duration::from_millis(1500)),
             sync_every: seconds(3.0 * nodes as f64 / params.state.rps),
-            leader_writes: params.state.write_rps * 0.5,
+            leader_writes: params.state.write_rps * 0.75,
             txn_ops: params.state.txn_ops,
             cloud_every: seconds(2.0 / params.cloud.rps),
             list_lag: seconds(params.cloud.list_lag_s),
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -115,9 +115,7 @@
         if now >= self.fleet.next_plan {
             self.fleet.next_plan = now + Duration::from_millis(500);
             self.plan_returns(now);
-            if !self.unresolved() {
-                self.plan_rentals(now);
-            }
+            self.plan_rentals(now);
         }
         if let Some(open) = self
             .fleet
@@ -133,7 +131,7 @@
             .values()
             .filter(|m| m.standing == Standing::Leaving && m.tasks.is_empty() && !m.unresolved)
             // Off the roster first: a next leader need not wait for it then.
-            .filter(|m| !m.enrolled && !m.enrolling)
+            .filter(|m| m.entry.version == 0 && !m.entry.writing)
             .filter(|m| !self.fleet.releasing.contains(&m.id))
             .map(|m| m.id.clone())
             .take(100)
@@ -421,8 +419,9 @@
             .sum();
         let mut jobs: Vec<_> = self
             .jobs
-            .values()
-            .filter(|j| j.retry_at <= now && !j.faulty())
+            .iter()
+            .filter(|(id, j)| j.retry_at <= now && !j.faulty() && !self.held(id, j))
+            .map(|(_, j)| j)
             .filter(|j| j.waiting_count() as usize > j.nominations.len())
             .collect();
         jobs.sort_by_key(|j| (std::cmp::Reverse(j.spec.priority), j.accepted_ms, j.version));
--- a/src/core/lead.rs
+++ b/src/core/lead.rs
@@ -48,9 +48,9 @@
     started: bool,
     synced: bool,
     progress: Option<HashMap<JobId, TaskSet>>,
-    roster: Option<Vec<(MachineId, RosterRecord)>>,
+    roster: Option<Vec<(MachineId, RosterRecord, u64)>>,
     progress_so_far: HashMap<JobId, TaskSet>,
-    roster_so_far: Vec<(MachineId, RosterRecord)>,
+    roster_so_far: Vec<(MachineId, RosterRecord, u64)>,
     retry: Duration,
     in_flight: u32,
 }
@@ -324,7 +324,9 @@
                     if let Some(id) = entry.key.strip_prefix(ROSTER)
                         && let Ok(record) = serde_json::from_str(entry.value.get())
                     {
-                        taking.roster_so_far.push((id.into(), record));
+                        taking
+                            .roster_so_far
+                            .push((id.into(), record, entry.version));
                     }
                 }
                 _ => {
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -142,7 +142,7 @@
 pub struct Found<'a> {
     pub jobs: &'a HashMap<JobId, LiveJob>,
     pub progress: HashMap<JobId, TaskSet>,
-    pub roster: Vec<(MachineId, RosterRecord)>,
+    pub roster: Vec<(MachineId, RosterRecord, u64)>,
     /// By then every lease that a former leader kept alive is over.
     pub resolve_by: Duration,
 }
@@ -200,7 +200,7 @@
             types,
             config,
         };
-        for (id, record) in roster {
+        for (id, record, version) in roster {
             let mut machine = leader.machine(
                 id.clone(),
                 record.machine_type,
@@ -208,7 +208,8 @@
                 record.spot,
                 now,
             );
-            machine.enrolled = true;
+            machine.entry.version = version;
+            machine.entry.jobs = record.jobs;
             machine.unresolved = true;
             leader.machines.insert(id, machine);
         }
@@ -309,7 +310,7 @@
     pub fn machine_gone(&mut self, id: &MachineId, now: Duration) {
         self.session_over(id, now);
         if let Some(machine) = self.machines.remove(id)
-            && machine.enrolled
+            && machine.entry.version > 0
         {
             self.departed.push(id.clone());
         }
@@ -326,10 +327,14 @@
         self.wake();
     }
 
-    /// A silent machine may hold tasks that a former leader started. Only jobs
-    /// accepted since the claim can't be among them.
-    pub fn held(&self, job: &Job) -> bool {
-        job.version < self.claim && self.unresolved()
+    /// A silent machine may hold tasks of this job that a former leader started:
+    /// it is listed there, and was accepted before the claim.
+    pub fn held(&self, id: &JobId, job: &Job) -> bool {
+        job.version < self.claim
+            && self
+                .machines
+                .values()
+                .any(|m| m.unresolved && m.entry.jobs.contains(id))
     }
 
     pub fn unresolved(&self) -> bool {
@@ -409,11 +414,15 @@
             let silent = m
                 .heard_at
                 .is_none_or(|at| now > at + self.config.report * 2);
-            let urgent = m.tasks.values().any(|p| match (p.phase, p.stop) {
-                (Phase::Decided, None) => m.fenced,
-                (Phase::Seen(phase), Some(stop)) => !phase.exited() && !stop.sent,
-                _ => false,
-            });
+            let listed = |m: &Machine, task: &TaskId| m.entry.jobs.contains(&task.job);
+            let urgent = m
+                .tasks
+                .iter()
+                .any(|((task, _), p)| match (p.phase, p.stop) {
+                    (Phase::Decided, None) => m.fenced && listed(m, task),
+                    (Phase::Seen(phase), Some(stop)) => !phase.exited() && !stop.sent,
+                    _ => false,
+                });
             !m.direct
                 && !silent
                 && now >= m.direct_retry
@@ -807,7 +816,9 @@
                         ends.push(Command::Forget { task, attempt });
                     }
                 }
-                (Phase::Decided | Phase::Sent { .. }, None) if machine.fenced => {
+                (Phase::Decided | Phase::Sent { .. }, None)
+                    if machine.fenced && machine.entry.jobs.contains(&task.job) =>
+                {
                     let (last, direct) = match placement.phase {
                         Phase::Sent { seq, direct } => (seq, direct),
                         _ => (0, None),
--- a/src/core/machine.rs
+++ b/src/core/machine.rs
@@ -1,7 +1,7 @@
 //! Machines, what runs on them, and what their workers say and are told.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     sync::Arc,
     time::Duration,
@@ -128,12 +128,15 @@
     },
 }
 
-/// What is stored of a machine before its first start.
+/// What is stored of a machine before any start on it.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct RosterRecord {
     pub machine_type: Arc<str>,
     pub zone: Arc<str>,
     pub spot: bool,
+    /// Jobs that may have tasks there.
+    #[serde(default)]
+    pub jobs: BTreeSet<JobId>,
 }
 
 /// How far a start command has come.
@@ -210,6 +213,21 @@
     Leaving,
 }
 
+/// What is known of a machine's entry in the stored roster. A start is sent only
+/// for a job that is listed there, so that a next leader knows which jobs a
+/// silent machine may hold.
+#[derive(Debug, Clone, Default)]
+pub struct RosterEntry {
+    /// Revision of the entry; 0: there is none.
+    pub version: u64,
+    /// Jobs that are listed for certain.
+    pub jobs: BTreeSet<JobId>,
+    /// A write is under way.
+    pub writing: bool,
+    /// A write was not answered, so the entry is read before the next one.
+    pub unsure: bool,
+}
+
 /// One machine as the leader sees it.
 #[derive(Debug, Clone)]
 pub struct Machine {
@@ -235,10 +253,8 @@
     pub dead_session: u64,
     /// The worker has been seen to know this leader's token.
     pub fenced: bool,
-    /// Being put on the stored roster, or taken off it.
-    pub enrolling: bool,
-    /// Stored in the roster, so that a next leader knows of it.
-    pub enrolled: bool,
+    /// Its entry in the stored roster.
+    pub entry: RosterEntry,
     /// May hold tasks that a former leader started.
     pub unresolved: bool,
     pub answered_at: Option<Duration>,
@@ -281,8 +297,7 @@
             direct_retry: Duration::ZERO,
             dead_session: 0,
             fenced: false,
-            enrolling: false,
-            enrolled: false,
+            entry: RosterEntry::default(),
             unresolved: false,
             answered_at: None,
             heard_at: None,
@@ -309,6 +324,13 @@
         self.tasks.values().any(|p| !p.exited())
     }
 
+    /// A start waits for its job to be listed in the roster.
+    pub fn unlisted(&self) -> bool {
+        self.tasks.iter().any(|((task, _), p)| {
+            p.phase == Phase::Decided && p.stop.is_none() && !self.entry.jobs.contains(&task.job)
+        })
+    }
+
     pub fn has_image(&self, image: &str) -> bool {
         self.images.contains_key(image)
     }
--- a/src/core/saves.rs
+++ b/src/core/saves.rs
@@ -1,7 +1,7 @@
 //! What the leader writes: the roster, results, and ends of jobs. Every write
 //! depends on its claim, so one that is applied late changes nothing.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use tracing::info;
 
@@ -20,7 +20,12 @@
 pub enum Save {
     Enroll {
         claim: u64,
-        machines: Vec<MachineId>,
+        machines: Vec<(MachineId, BTreeSet<JobId>)>,
+    },
+    /// Reads an entry again whose write was not answered.
+    Reread {
+        claim: u64,
+        machine: MachineId,
     },
     Strike {
         claim: u64,
@@ -88,10 +93,13 @@
             if self.saves.allowance < 1.0 {
                 return;
             }
+            let Some(claim) = self.claim() else { return };
+            if self.reread_entry(claim) {
+                continue;
+            }
             let Some((save, mut conditions, changes)) = self.next_save(now) else {
                 return;
             };
-            let Some(claim) = self.claim() else { return };
             conditions.push(when(LEADER, claim));
             self.saves.allowance -= changes.len() as f64;
             self.saves.in_flight += 1;
@@ -105,6 +113,22 @@
         }
     }
 
+    /// Reads one roster entry again whose write was not answered.
+    fn reread_entry(&mut self, claim: u64) -> bool {
+        let unsure = self.leader.as_mut().and_then(|leader| {
+            let mut machines = leader.machines.values_mut();
+            machines.find(|m| m.entry.unsure && !m.entry.writing)
+        });
+        let Some(machine) = unsure else { return false };
+        machine.entry.writing = true;
+        let key = machine_key(&machine.id);
+        let machine = machine.id.clone();
+        self.saves.in_flight += 1;
+        let save = Purpose::Save(Save::Reread { claim, machine });
+        self.call(save, StateRequest::Get { key });
+        true
+    }
+
     fn next_save(
         &mut self,
         now: Duration,
@@ -113,29 +137,6 @@
         let leader = self.leader.as_mut()?;
         let claim = leader.claim;
 
-        let new: Vec<MachineId> = leader
-            .machines
-            .values()
-            .filter(|m| !m.enrolled && !m.enrolling && m.standing == Standing::Up)
-            .map(|m| m.id.clone())
-            .take(most)
-            .collect();
-        if !new.is_empty() {
-            let mut changes = Vec::new();
-            for id in &new {
-                let machine = leader.machines.get_mut(id)?;
-                machine.enrolling = true;
-                let record = RosterRecord {
-                    machine_type: machine.machine_type.clone(),
-                    zone: machine.zone.clone(),
-                    spot: machine.spot,
-                };
-                changes.push(put(machine_key(id), &record));
-            }
-            let machines = new;
-            return Some((Save::Enroll { claim, machines }, Vec::new(), changes));
-        }
-
         let complete = leader
             .jobs
             .iter_mut()
@@ -172,6 +173,36 @@
             ));
         }
 
+        // Starts wait for their job to be listed with their machine.
+        let new: Vec<MachineId> = leader
+            .machines
+            .values()
+            .filter(|m| m.standing == Standing::Up && m.fenced && !m.entry.writing)
+            .filter(|m| !m.entry.unsure && (m.entry.version == 0 || m.unlisted()))
+            .map(|m| m.id.clone())
+            .take(most)
+            .collect();
+        if !new.is_empty() {
+            let (mut changes, mut conditions, mut machines) = (Vec::new(), Vec::new(), Vec::new());
+            for id in new {
+                let machine = leader.machines.get_mut(&id)?;
+                machine.entry.writing = true;
+                let record = RosterRecord {
+                    machine_type: machine.machine_type.clone(),
+                    zone: machine.zone.clone(),
+                    spot: machine.spot,
+                    jobs: machine.tasks.keys().map(|(t, _)| t.job.clone()).collect(),
+                };
+                conditions.push(when(machine_key(&id), machine.entry.version));
+                changes.push(put(machine_key(&id), &record));
+                // Until the answer only what is listed before and after counts:
+                // a start for a job that this write drops must not go out.
+                machine.entry.jobs.retain(|id| record.jobs.contains(id));
+                machines.push((id, record.jobs));
+            }
+            return Some((Save::Enroll { claim, machines }, conditions, changes));
+        }
+
         let unsaved = leader
             .jobs
             .iter_mut()
@@ -199,18 +230,18 @@
             .machines
             .values()
             .filter(|m| m.standing == Standing::Leaving && m.tasks.is_empty() && !m.unresolved)
-            .filter(|m| m.enrolled && !m.enrolling)
+            .filter(|m| m.entry.version > 0 && !m.entry.writing && !m.entry.unsure)
             .map(|m| m.id.clone())
             .take(most)
             .collect();
-        let room = most - machines.len();
         for id in &machines {
-            leader.machines.get_mut(id)?.enrolling = true;
+            leader.machines.get_mut(id)?.entry.writing = true;
         }
-        let count = leader.departed.len().min(room);
+        let count = leader.departed.len().min(most - machines.len());
         machines.extend(leader.departed.drain(..count));
         if !machines.is_empty() {
-            let changes = machines.iter().map(|id| delete(machine_key(id))).collect();
+            let changes = machines.iter().map(|id| delete(machine_key(id)));
+            let changes = changes.collect();
             return Some((Save::Strike { claim, machines }, Vec::new(), changes));
         }
         // Removing what is left over waits until there is plenty of room.
@@ -226,7 +257,7 @@
     pub(super) fn saved(&mut self, save: Save, reply: StateReply) {
         let now = self.now();
         let committed = matches!(reply, StateReply::Committed { .. });
-        if !matches!(reply, StateReply::Committed { .. } | StateReply::Conflict) {
+        if matches!(reply, StateReply::Refused { .. } | StateReply::Unclear) {
             self.saves.retry = now + BACK_OFF;
         }
         if let (Save::Finish { id, record, .. }, StateReply::Committed { revision }) =
@@ -240,6 +271,7 @@
         let claim = match &save {
             Save::Enroll { claim, .. }
             | Save::Strike { claim, .. }
+            | Save::Reread { claim, .. }
             | Save::Progress { claim, .. }
             | Save::Finish { claim, .. }
             | Save::Collect { claim, .. } => *claim,
@@ -250,22 +282,49 @@
         self.saves.in_flight = self.saves.in_flight.saturating_sub(1);
         match save {
             Save::Enroll { machines, .. } => {
-                for id in machines {
-                    if let Some(machine) = leader.machines.get_mut(&id) {
-                        machine.enrolling = false;
-                        machine.enrolled |= committed;
-                    } else if committed {
-                        leader.departed.push(id);
+                for (id, jobs) in machines {
+                    let Some(machine) = leader.machines.get_mut(&id) else {
+                        if committed {
+                            leader.departed.push(id);
+                        }
+                        continue;
+                    };
+                    let entry = &mut machine.entry;
+                    entry.writing = false;
+                    match reply {
+                        StateReply::Committed { revision } => {
+                            entry.version = revision;
+                            entry.jobs = jobs;
+                        }
+                        // It changed nothing and never will.
+                        StateReply::Refused { .. } => {}
+                        // It may have been executed, or may be later.
+                        _ => entry.unsure = true,
                     }
                 }
-                leader.requeue();
+            }
+            Save::Reread { machine, .. } => {
+                let Some(machine) = leader.machines.get_mut(&machine) else {
+                    return;
+                };
+                machine.entry.writing = false;
+                let version = match &reply {
+                    StateReply::Entry(entry) => entry.version,
+                    StateReply::Missing => 0,
+                    _ => return,
+                };
+                // A write that is applied late fails once the next one is in.
+                machine.entry.unsure = false;
+                machine.entry.version = version;
             }
             Save::Strike { machines, .. } => {
                 for id in machines {
                     match leader.machines.get_mut(&id) {
                         Some(machine) => {
-                            machine.enrolling = false;
-                            machine.enrolled &= !committed;
+                            machine.entry.writing = false;
+                            if committed {
+                                machine.entry.version = 0;
+                            }
                         }
                         None if !committed => leader.departed.push(id),
                         None => {}
--- a/src/core/sched.rs
+++ b/src/core/sched.rs
@@ -53,7 +53,6 @@
     pub fn usable(&self, machine: &Machine, now: Duration) -> bool {
         machine.standing == Standing::Up
             && machine.fenced
-            && machine.enrolled
             && machine.notice_at.is_none()
             && machine
                 .heard_at
@@ -74,7 +73,7 @@
             if job.waiting_count() == 0 {
                 continue;
             }
-            if job.retry_at > now || self.held(job) {
+            if job.retry_at > now || self.held(&id, job) {
                 self.queue.park(id);
                 continue;
             }
@@ -111,11 +110,13 @@
                 }
             }
         }
-        if self.unresolved() {
-            for job in self.jobs.values().filter(|job| job.version < self.claim) {
-                let hidden = job.spec.need;
-                let count = f64::from(job.waiting_count());
-                let sum = Resources::default().plus_times(&hidden, count);
+        // What silent machines may hold counts as running.
+        for machine in self.machines.values().filter(|m| m.unresolved) {
+            for job in machine.entry.jobs.iter().filter_map(|id| self.jobs.get(id)) {
+                let hidden = job
+                    .waiting_count()
+                    .min(job.spec.need.times_in(&machine.size));
+                let sum = Resources::default().plus_times(&job.spec.need, f64::from(hidden));
                 add(&mut usage, &job.spec.team, &sum);
             }
         }
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -74,8 +74,6 @@
     fn machine(&mut self, name: &str) {
         self.running.insert(name.to_owned(), Vec::new());
         self.report(name);
-        let machine = self.leader.machines.get_mut(name).expect("met");
-        machine.enrolled = true;
     }
 
     fn report(&mut self, name: &str) -> Vec<Command> {
@@ -538,6 +536,12 @@
     c.machine("vm-1");
     let job = c.job(spec(1, Kind::Array, Priority::Normal, 1, 4.0));
     c.pass();
+    assert!(
+        c.leader.direct_commands(c.now).is_none(),
+        "its job is not listed yet"
+    );
+    let machine = c.leader.machines.get_mut("vm-1").expect("a machine");
+    machine.entry.jobs.insert(job.clone());
     let direct = c.leader.direct_commands(c.now).expect("a start to send");
     assert_eq!(direct.commands.len(), 1);
     c.leader.direct_reply(&direct, DirectReply::Unclear, c.now);
--- a/tests/world/observer.rs
+++ b/tests/world/observer.rs
@@ -90,6 +90,10 @@
         }
     }
 
+    pub fn unlisted(&mut self, now: Duration, task: &TaskId, machine: &str) {
+        self.breaks(now, "unlisted", format!("{task} on {machine}"));
+    }
+
     pub fn gone(&mut self, task: &TaskId, machine: &str, done: bool) {
         if self.on.get(task).is_some_and(|r| r.machine == machine) {
             self.on.remove(task);
--- a/tests/world/sim.rs
+++ b/tests/world/sim.rs
@@ -925,6 +925,7 @@
         for command in commands {
             match command {
                 Command::Start { task, attempt } => {
+                    self.check_listed(name, task);
                     let spec = self.spec(task).clone();
                     let fetch = ms(self.rng.random_range(100..2500));
                     let used: f64 = self.workers[name]
@@ -986,6 +987,19 @@
         self.hurry(name);
     }
 
+    /// A next leader trusts the roster on which jobs a silent machine may hold.
+    fn check_listed(&mut self, name: &str, task: &TaskId) {
+        let key = format!("machine/{name}");
+        let entry = self.state.call(self.now, &StateRequest::Get { key });
+        let listed = match entry {
+            Some(StateReply::Entry(entry)) => entry.value.get().contains(task.job.as_str()),
+            _ => false,
+        };
+        if !listed {
+            self.observer.unlisted(self.now, task, name);
+        }
+    }
+
     // Users.
 
     fn user(&mut self, i: usize) {
