--- a/src/core/config.rs
+++ b/src/core/config.rs
@@ -85,7 +85,8 @@
             sync_every: seconds(3.0 * nodes as f64 / params.state.rps),
             leader_writes: params.state.write_rps * 0.75,
             txn_ops: params.state.txn_ops,
-            cloud_every: seconds(2.0 / params.cloud.rps),
+            // Nearly all calls are the leader's; the rest is for lists of types.
+            cloud_every: seconds(1.25 / params.cloud.rps),
             list_lag: seconds(params.cloud.list_lag_s),
             options,
         }
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -357,9 +357,11 @@
     /// Rents for waiting work that neither running nor booting machines will take soon.
     fn plan_rentals(&mut self, now: Duration) {
         self.fleet.refused.retain(|_, until| *until > now);
-        if self.fleet.open.len() >= 8 {
-            return;
-        }
+        while self.fleet.open.len() < OPEN_MOST && self.plan_rental(now) {}
+    }
+
+    fn plan_rental(&mut self, now: Duration) -> bool {
+        let mut rented = false;
         let mut booting: Vec<(Arc<str>, Arc<str>, bool, Resources)> = self
             .machines
             .values()
@@ -395,9 +397,11 @@
                 in_flight: false,
                 next_try: Duration::ZERO,
             });
-            // One decision at a time: the next one counts what this one brings.
+            rented = true;
+            // The next decision counts what this one brings.
             break;
         }
+        rented
     }
 
     fn size(&self, machine_type: &str) -> Resources {
@@ -494,5 +498,7 @@
     }
 }
 
+/// Rentals without a final answer at a time.
+const OPEN_MOST: usize = 8;
 /// Waiting work that the machines do within this time needs no new ones.
 const RENT_HORIZON: Duration = Duration::from_secs(20);
