--- a/src/core/lead.rs
+++ b/src/core/lead.rs
@@ -4,7 +4,7 @@
 //! it stops before the service can end the lease. Its token is made of the
 //! revision of its claim, and every write of a leader depends on that claim.
 
-use std::{collections::HashMap, time::Duration};
+use std::{collections::BTreeMap, time::Duration};
 
 use tracing::info;
 
@@ -47,9 +47,9 @@
 struct TakeOver {
     started: bool,
     synced: bool,
-    progress: Option<HashMap<JobId, TaskSet>>,
+    progress: Option<BTreeMap<JobId, TaskSet>>,
     roster: Option<Vec<(MachineId, RosterRecord, u64)>>,
-    progress_so_far: HashMap<JobId, TaskSet>,
+    progress_so_far: BTreeMap<JobId, TaskSet>,
     roster_so_far: Vec<(MachineId, RosterRecord, u64)>,
     retry: Duration,
     in_flight: u32,
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -118,7 +118,7 @@
     pub claim: u64,
     pub token: u64,
     pub types: Arc<Vec<MachineType>>,
-    pub jobs: HashMap<JobId, Job>,
+    pub jobs: BTreeMap<JobId, Job>,
     pub machines: BTreeMap<MachineId, Machine>,
     pub queue: Queue,
     pub fleet: Fleet,
@@ -140,8 +140,8 @@
 
 /// What a take-over found in the state service.
 pub struct Found<'a> {
-    pub jobs: &'a HashMap<JobId, LiveJob>,
-    pub progress: HashMap<JobId, TaskSet>,
+    pub jobs: &'a BTreeMap<JobId, LiveJob>,
+    pub progress: BTreeMap<JobId, TaskSet>,
     pub roster: Vec<(MachineId, RosterRecord, u64)>,
     /// By then every lease that a former leader kept alive is over.
     pub resolve_by: Duration,
@@ -184,7 +184,7 @@
         let mut leader = Self {
             claim,
             token: claim << 16,
-            jobs: HashMap::new(),
+            jobs: BTreeMap::new(),
             machines: BTreeMap::new(),
             queue: Queue::default(),
             fleet: Fleet::new(format!("{}-{claim}", config.node)),
--- a/src/core/machine.rs
+++ b/src/core/machine.rs
@@ -1,7 +1,7 @@
 //! Machines, what runs on them, and what their workers say and are told.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::Arc,
     time::Duration,
@@ -264,7 +264,7 @@
     pub notice_at: Option<Duration>,
     pub tasks: BTreeMap<(TaskId, u64), Placement>,
     /// Images in the machine's cache, as far as seen, with their last use.
-    pub images: HashMap<Arc<str>, Duration>,
+    pub images: BTreeMap<Arc<str>, Duration>,
     /// Recent failures of tasks here, one entry a job.
     pub failures: Vec<(JobId, Duration)>,
     /// When the cloud's list last showed it.
@@ -305,7 +305,7 @@
             idle_since: now,
             notice_at: None,
             tasks: BTreeMap::new(),
-            images: HashMap::new(),
+            images: BTreeMap::new(),
             failures: Vec::new(),
             listed_at: None,
             listed_failed: false,
--- a/src/core/mirror.rs
+++ b/src/core/mirror.rs
@@ -3,7 +3,7 @@
 //! A watch that does not wait proves the copy as new as the moment it was sent,
 //! so one such request serves every poll that came before it.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{collections::BTreeMap, sync::Arc};
 
 use serde::{Deserialize, Serialize};
 
@@ -32,7 +32,7 @@
     pub cursor: u64,
     pub leader: Option<(LeaderRecord, u64)>,
     pub types: Option<Arc<Vec<MachineType>>>,
-    pub jobs: HashMap<JobId, LiveJob>,
+    pub jobs: BTreeMap<JobId, LiveJob>,
 }
 
 /// What a change means to the node.
--- a/src/core/queue.rs
+++ b/src/core/queue.rs
@@ -4,7 +4,7 @@
 
 use std::{
     cmp::Reverse,
-    collections::{BinaryHeap, HashMap, HashSet},
+    collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, HashSet},
 };
 
 use super::{
@@ -19,7 +19,7 @@
 pub struct Queue {
     heap: BinaryHeap<Rank>,
     queued: HashSet<JobId>,
-    parked: HashSet<JobId>,
+    parked: BTreeSet<JobId>,
     /// Something has changed since the last pass.
     pub dirty: bool,
 }
@@ -65,7 +65,7 @@
         self.parked.remove(id);
     }
 
-    pub fn unpark(&mut self, jobs: &HashMap<JobId, Job>) {
+    pub fn unpark(&mut self, jobs: &BTreeMap<JobId, Job>) {
         for id in std::mem::take(&mut self.parked) {
             if let Some(job) = jobs.get(&id) {
                 self.push(&id, job);
--- a/src/io/mod.rs
+++ b/src/io/mod.rs
@@ -60,14 +60,16 @@
             };
             let mut next_request: RequestId = 0;
             loop {
+                // A fixed order, so that the same events give the same run.
                 tokio::select! {
+                    biased;
+                    _ = tick.tick() => driver.step(Input::Tick),
+                    Some(input) = replies.recv() => driver.step(input),
                     Some(call) = incoming.recv() => {
                         next_request += 1;
                         driver.waiting.borrow_mut().insert(next_request, call.answer);
                         driver.step((call.make)(next_request));
                     }
-                    Some(input) = replies.recv() => driver.step(input),
-                    _ = tick.tick() => driver.step(Input::Tick),
                 }
             }
         })
--- a/src/io/peer.rs
+++ b/src/io/peer.rs
@@ -79,6 +79,7 @@
     let mut byte = [0u8; 1];
     loop {
         let line = tokio::select! {
+            biased;
             // Nothing is ever sent back: this ends when the peer does.
             _ = stream.read(&mut byte) => return Some(()),
             line = lines.recv() => line?,
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -2,7 +2,7 @@
 //! random clusters, and the examples of the paper.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet},
     sync::Arc,
     time::Duration,
 };
@@ -56,8 +56,8 @@
             zones: vec![Arc::from("a"), Arc::from("b")],
         }];
         let found = Found {
-            jobs: &HashMap::new(),
-            progress: HashMap::new(),
+            jobs: &BTreeMap::new(),
+            progress: BTreeMap::new(),
             roster: Vec::new(),
             resolve_by: Duration::ZERO,
         };
