--- a/src/core/sched.rs
+++ b/src/core/sched.rs
@@ -47,8 +47,6 @@
     freed: Resources,
     /// About how long the image takes to arrive, in seconds.
     fetch: f64,
-    /// How large the machine is.
-    cpus: f64,
 }
 
 impl Leader {
@@ -257,7 +255,6 @@
     fn best_fit(&self, view: &View, spec: &JobSpec, now: Duration) -> Option<usize> {
         let job = self.jobs.get(&spec.id)?;
         let mut best: Option<(f64, usize)> = None;
-        let largest = self.types.iter().map(|t| t.size.cpus).fold(1e-9, f64::max);
         for (i, room) in view.rooms.iter().enumerate() {
             if !self.fits(view, room, spec, &room.free) {
                 continue;
@@ -282,9 +279,6 @@
                     .count();
                 let in_zone = view.zones.get(&machine.zone).copied().unwrap_or(0);
                 cost += 4.0 * beside as f64 + f64::from(in_zone);
-                // On small machines, so that fewer are lost with one, and large
-                // ones can be returned when finite work is over.
-                cost += 2.0 * machine.size.cpus / largest;
             }
             // What may be taken back is left to those who may use it.
             if spec.spot && !machine.spot {
@@ -363,7 +357,6 @@
                 (a.breaches, a.highest, a.victims.len())
                     .cmp(&(b.breaches, b.highest, b.victims.len()))
                     .then(a.fetch.total_cmp(&b.fetch))
-                    .then(a.cpus.total_cmp(&b.cpus))
                     .then(a.room.cmp(&b.room))
             })
     }
@@ -428,7 +421,6 @@
             highest: None,
             freed: Resources::default(),
             fetch: self.fetch_time(machine, spec),
-            cpus: machine.size.cpus,
         };
         for (breaks, priority, _, key, victim) in budgeted {
             let without = free.minus(&victim.need);
