Strike lost machines off the roster once they are proven empty

The strike is conditional on the entry's revision, so that one applied late can't undo the entry of a machine that came back.

--- a/src/core/saves.rs
+++ b/src/core/saves.rs
@@ -224,25 +224,32 @@
             return Some((Save::Progress { claim, id, set }, conditions, changes));
         }
 
-        // Machines that are to be returned get no more tasks, so the roster can
-        // forget them; those that went by themselves are struck with them.
+        // Machines that are to be returned get no more tasks, and lost ones are
+        // proven empty: a next leader need not wait for them. Those that are gone
+        // are struck with them.
         let mut machines: Vec<MachineId> = leader
             .machines
             .values()
-            .filter(|m| m.standing == Standing::Leaving && m.tasks.is_empty() && !m.unresolved)
+            .filter(|m| matches!(m.standing, Standing::Leaving | Standing::Lost))
+            .filter(|m| m.tasks.is_empty() && !m.unresolved)
             .filter(|m| m.entry.version > 0 && !m.entry.writing && !m.entry.unsure)
             .map(|m| m.id.clone())
             .take(most)
             .collect();
+        let mut conditions = Vec::new();
         for id in &machines {
-            leader.machines.get_mut(id)?.entry.writing = true;
+            let entry = &mut leader.machines.get_mut(id)?.entry;
+            entry.writing = true;
+            entry.jobs.clear();
+            // A lost machine may come back: a late strike must not undo its new entry.
+            conditions.push(when(machine_key(id), entry.version));
         }
         let count = leader.departed.len().min(most - machines.len());
         machines.extend(leader.departed.drain(..count));
         if !machines.is_empty() {
             let changes = machines.iter().map(|id| delete(machine_key(id)));
             let changes = changes.collect();
-            return Some((Save::Strike { claim, machines }, Vec::new(), changes));
+            return Some((Save::Strike { claim, machines }, conditions, changes));
         }
         // Removing what is left over waits until there is plenty of room.
         if !leader.garbage.is_empty() && self.saves.allowance > self.saves.rate / 2.0 {
@@ -322,8 +329,10 @@
                     match leader.machines.get_mut(&id) {
                         Some(machine) => {
                             machine.entry.writing = false;
-                            if committed {
-                                machine.entry.version = 0;
+                            match reply {
+                                StateReply::Committed { .. } => machine.entry.version = 0,
+                                StateReply::Refused { .. } => {}
+                                _ => machine.entry.unsure = true,
                             }
                         }
                         None if !committed => leader.departed.push(id),
