--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -30,7 +30,7 @@
 use job::{FinalRecord, JobId, JobSpec, JobState};
 use lead::Lead;
 use leader::{Direct, Leader};
-use machine::{Command, DirectReply, MachineId, WorkerReport};
+use machine::{Command, DirectReply, WorkerReport};
 use mirror::{Mirror, Noticed};
 use relay::{PeerMessage, Relays};
 use store::{LIVE, StateReply, StateRequest};
@@ -552,12 +552,4 @@
             None => Answer::Redirect(None),
         })
     }
-
-    /// Names of machines in the leader's picture, for tests and logs.
-    pub fn machines(&self) -> Vec<MachineId> {
-        self.leader
-            .as_ref()
-            .map(|l| l.machines.keys().cloned().collect())
-            .unwrap_or_default()
-    }
 }
