--- a/src/main.rs
+++ b/src/main.rs
@@ -6,7 +6,17 @@
 use tracing_subscriber::{filter::Targets, layer::SubscriberExt, util::SubscriberInitExt};
 
 fn main() -> ExitCode {
-    let cli = Cli::parse();
+    let cli = match Cli::try_parse() {
+        Ok(cli) => cli,
+        Err(error) if error.use_stderr() => {
+            eprintln!("kiteyard: {}", one_line(&error.to_string()));
+            return ExitCode::from(2);
+        }
+        Err(help) => {
+            print!("{help}");
+            return ExitCode::SUCCESS;
+        }
+    };
     match run(&cli) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
@@ -16,6 +26,13 @@
     }
 }
 
+/// What is wrong with the flags, without the usage that follows it.
+fn one_line(error: &str) -> String {
+    let what = error.split("\n\n").next().unwrap_or(error);
+    let words: Vec<&str> = what.split_whitespace().collect();
+    words.join(" ").trim_start_matches("error: ").to_owned()
+}
+
 fn run(cli: &Cli) -> Result<(), Box<dyn std::error::Error>> {
     let settings = Settings::load(&cli.config)?;
     if cli.check {
--- a/tests/binary.rs
+++ b/tests/binary.rs
@@ -302,7 +302,17 @@
     };
     assert!(run(&["--help"]).1.contains("--config"));
     assert!(run(&["--version"]).1.starts_with("kiteyard "));
-    assert!(!run(&["--frobnicate"]).0);
+    for (args, field) in [
+        (vec!["--frobnicate"], "--frobnicate"),
+        (vec![], "--config"),
+        (vec!["--config", "x", "--idle-cost", "much"], "--idle-cost"),
+    ] {
+        let (ok, _, error) = run(&args);
+        assert!(
+            !ok && error.contains(field) && error.lines().count() == 1,
+            "{error}"
+        );
+    }
     assert!(!run(&["--config", "/nonexistent/settings.json"]).0);
     let addrs = standins::free_addrs(4);
     let settings = standins::settings(0, &[(addrs[0], addrs[1])], addrs[2], addrs[3]);
