--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,58 @@
+//! Command-line flags and variables of the program.
+
+use std::path::PathBuf;
+
+use clap::Parser;
+
+use crate::{core::config::Options, settings};
+
+/// A cluster scheduler with priorities, preemption and nominations.
+#[derive(Debug, Parser)]
+#[command(name = "kiteyard", version)]
+pub struct Cli {
+    /// Settings file (JSON) that the platform hands over
+    #[arg(long, value_name = "FILE")]
+    pub config: PathBuf,
+
+    /// Check the settings file and exit
+    #[arg(long)]
+    pub check: bool,
+
+    /// How much is logged on standard error: error, info or debug
+    #[arg(long, env = "LOG_LEVEL", default_value = "info", value_name = "LEVEL")]
+    pub log_level: tracing::Level,
+
+    /// Seconds that a machine may stay idle before it is returned
+    #[arg(long, env = "KITEYARD_IDLE_S", default_value_t = 45.0, value_name = "SECONDS", value_parser = seconds)]
+    pub idle_s: f64,
+
+    /// Grace in seconds for tasks stopped to make room
+    #[arg(long, env = "KITEYARD_GRACE_S", default_value_t = 10.0, value_name = "SECONDS", value_parser = seconds)]
+    pub grace_s: f64,
+
+    /// Tasks of one service that may be stopping at a time before it counts as a breach
+    #[arg(
+        long,
+        env = "KITEYARD_DISRUPTION_BUDGET",
+        default_value_t = 1,
+        value_name = "TASKS"
+    )]
+    pub disruption_budget: u32,
+}
+
+fn seconds(text: &str) -> Result<f64, String> {
+    match text.parse::<f64>() {
+        Ok(value) if (0.0..=86_400.0).contains(&value) => Ok(value),
+        _ => Err("expected seconds between 0 and 86400".into()),
+    }
+}
+
+impl Cli {
+    pub fn options(&self) -> Options {
+        Options {
+            idle: settings::seconds(self.idle_s),
+            grace: settings::seconds(self.grace_s),
+            disruption_budget: self.disruption_budget,
+        }
+    }
+}
--- /dev/null
+++ b/src/core/config.rs
@@ -0,0 +1,92 @@
+//! What the core needs of the settings, in its own terms.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use crate::settings::{Settings, Team, seconds};
+
+/// Steady clocks may differ by this share.
+const DRIFT: f64 = 0.001;
+
+/// Choices of the operators.
+#[derive(Debug, Clone)]
+pub struct Options {
+    pub idle: Duration,
+    pub grace: Duration,
+    pub disruption_budget: u32,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            idle: Duration::from_secs(45),
+            grace: Duration::from_secs(10),
+            disruption_budget: 1,
+        }
+    }
+}
+
+#[derive(Debug)]
+pub struct Config {
+    pub node: String,
+    pub nodes: usize,
+    pub peers: Vec<String>,
+    pub teams: HashMap<Arc<str>, Team>,
+    pub objectives: Vec<crate::settings::Objective>,
+    pub report: Duration,
+    pub gang_wait: Duration,
+    /// By then a worker's lease is over, counted from when it was last answered.
+    pub worker_lease_bound: Duration,
+    /// How long the leader's own lease lasts.
+    pub leader_ttl: Duration,
+    /// How long the leader may act, counted from when it asked for the renewal.
+    pub leader_term: Duration,
+    pub renew_every: Duration,
+    /// Least time between two requests that prove this node's copy.
+    pub sync_every: Duration,
+    /// Changes a second that the leader may use beside what users cause.
+    pub leader_writes: f64,
+    pub txn_ops: usize,
+    pub cloud_every: Duration,
+    pub list_lag: Duration,
+    pub options: Options,
+}
+
+impl Config {
+    pub fn new(settings: &Settings, options: Options) -> Self {
+        let params = &settings.params;
+        let workers = &params.workers;
+        let nodes = settings.nodes();
+        let margin = Duration::from_millis(300);
+        let worker_lease_bound = seconds(workers.lease_s * (1.0 + 2.0 * DRIFT)) + margin;
+        // A leader that is refused by the state service does not hear of
+        // cancellations: its term and the workers' leases after it must end
+        // within the time a cancellation has.
+        let slack = seconds(workers.cancel_s).saturating_sub(worker_lease_bound);
+        let leader_ttl = slack
+            .saturating_sub(Duration::from_secs(3))
+            .clamp(Duration::from_secs(4), Duration::from_secs(20));
+        Self {
+            node: settings.node.clone(),
+            nodes,
+            peers: settings.peers.iter().map(|p| p.node.clone()).collect(),
+            teams: params
+                .teams
+                .iter()
+                .map(|t| (Arc::from(t.name.as_str()), t.clone()))
+                .collect(),
+            objectives: params.objectives.clone(),
+            report: seconds(workers.report_s),
+            gang_wait: seconds(workers.gang_wait_s),
+            worker_lease_bound,
+            leader_ttl,
+            leader_term: leader_ttl.mul_f64(1.0 - 2.0 * DRIFT).saturating_sub(margin),
+            renew_every: (leader_ttl / 8).min(Duration::from_millis(1500)),
+            sync_every: seconds(3.0 * nodes as f64 / params.state.rps),
+            leader_writes: params.state.write_rps * 0.5,
+            txn_ops: params.state.txn_ops,
+            cloud_every: seconds(2.0 / params.cloud.rps),
+            list_lag: seconds(params.cloud.list_lag_s),
+            options,
+        }
+    }
+}
--- /dev/null
+++ b/src/core/fleet.rs
@@ -0,0 +1,487 @@
+//! Renting and returning machines.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    sync::Arc,
+    time::Duration,
+};
+
+use tracing::info;
+
+use super::{
+    job::{JobSpec, Kind, Resources},
+    leader::Leader,
+    machine::{ListedMachine, ListedState, MachineId, MachineType, Standing},
+};
+
+#[derive(Debug, Clone)]
+pub enum CloudRequest {
+    Types,
+    List { after: String },
+    Rent(Rental),
+    Release { machines: Vec<MachineId> },
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub struct Rental {
+    pub request: String,
+    pub machine_type: Arc<str>,
+    pub zone: Arc<str>,
+    pub spot: bool,
+    pub count: u32,
+}
+
+#[derive(Debug, Clone)]
+pub enum CloudReply {
+    Types(Vec<MachineType>),
+    Machines {
+        machines: Vec<ListedMachine>,
+        more: bool,
+    },
+    Rented(Vec<MachineId>),
+    NoCapacity,
+    Released,
+    /// Not executed: over the limit or in an outage.
+    Refused,
+    /// No answer: it may have been executed, or may be later.
+    Unclear,
+}
+
+/// A rental that has no final answer yet.
+#[derive(Debug)]
+struct Open {
+    rental: Rental,
+    in_flight: bool,
+    next_try: Duration,
+}
+
+type Kind3 = (Arc<str>, Arc<str>, bool);
+
+/// What the leader has going with the cloud.
+#[derive(Debug)]
+pub struct Fleet {
+    /// Begins the name of every rental, so that no other leader uses it.
+    prefix: String,
+    rented: u64,
+    open: Vec<Open>,
+    listing: Option<Vec<ListedMachine>>,
+    next_list: Duration,
+    next_types: Duration,
+    next_plan: Duration,
+    next_call: Duration,
+    releasing: BTreeSet<MachineId>,
+    /// Kinds of machine that were refused, until when they are not asked for again.
+    refused: HashMap<Kind3, Duration>,
+    /// Machines that were returned; the list may still show them for a while.
+    returned: BTreeMap<MachineId, Duration>,
+}
+
+/// Waiting tasks of one job that need room that is not there.
+struct Demand {
+    spec: Arc<JobSpec>,
+    tasks: u32,
+}
+
+impl Fleet {
+    pub fn new(prefix: String) -> Self {
+        Self {
+            prefix,
+            rented: 0,
+            open: Vec::new(),
+            listing: None,
+            next_list: Duration::ZERO,
+            next_types: Duration::ZERO,
+            next_plan: Duration::ZERO,
+            next_call: Duration::ZERO,
+            releasing: BTreeSet::new(),
+            refused: HashMap::new(),
+            returned: BTreeMap::new(),
+        }
+    }
+}
+
+impl Leader {
+    /// The next request to the cloud, if one is due. Calls are spaced evenly.
+    pub fn cloud_work(&mut self, now: Duration) -> Option<CloudRequest> {
+        if now < self.fleet.next_call {
+            return None;
+        }
+        let request = self.next_cloud_request(now)?;
+        self.fleet.next_call = now + self.config.cloud_every;
+        Some(request)
+    }
+
+    fn next_cloud_request(&mut self, now: Duration) -> Option<CloudRequest> {
+        if now >= self.fleet.next_plan {
+            self.fleet.next_plan = now + Duration::from_millis(500);
+            self.plan_returns(now);
+            if !self.unresolved() {
+                self.plan_rentals(now);
+            }
+        }
+        if let Some(open) = self
+            .fleet
+            .open
+            .iter_mut()
+            .find(|o| !o.in_flight && now >= o.next_try)
+        {
+            open.in_flight = true;
+            return Some(CloudRequest::Rent(open.rental.clone()));
+        }
+        let leaving: Vec<MachineId> = self
+            .machines
+            .values()
+            .filter(|m| m.standing == Standing::Leaving && m.tasks.is_empty() && !m.unresolved)
+            .filter(|m| !self.fleet.releasing.contains(&m.id))
+            .map(|m| m.id.clone())
+            .take(100)
+            .collect();
+        if !leaving.is_empty() {
+            info!(machines = ?leaving, "return");
+            self.fleet.releasing.extend(leaving.iter().cloned());
+            return Some(CloudRequest::Release { machines: leaving });
+        }
+        if now >= self.fleet.next_list {
+            self.fleet.next_list = now + self.config.list_lag.max(Duration::from_secs(4));
+            self.fleet.listing = Some(Vec::new());
+            return Some(CloudRequest::List {
+                after: String::new(),
+            });
+        }
+        if now >= self.fleet.next_types {
+            self.fleet.next_types = now + Duration::from_secs(60);
+            return Some(CloudRequest::Types);
+        }
+        None
+    }
+
+    pub fn cloud_reply(
+        &mut self,
+        request: &CloudRequest,
+        reply: CloudReply,
+        now: Duration,
+    ) -> Option<CloudRequest> {
+        match (request, reply) {
+            (CloudRequest::Rent(rental), reply) => self.rent_reply(rental, reply, now),
+            (CloudRequest::Release { machines }, reply) => {
+                for id in machines {
+                    self.fleet.releasing.remove(id);
+                    if matches!(reply, CloudReply::Released) {
+                        // All that was on it is gone by the time of the answer.
+                        self.machine_gone(id, now);
+                        self.fleet.returned.insert(id.clone(), now);
+                    }
+                }
+                if self.fleet.returned.len() > 500 {
+                    self.fleet.returned.pop_first();
+                }
+                self.requeue();
+            }
+            (CloudRequest::List { .. }, CloudReply::Machines { machines, more }) => {
+                let last = machines.last().map(|m| m.id.to_string());
+                let Some(listing) = &mut self.fleet.listing else {
+                    return None;
+                };
+                listing.extend(machines);
+                if let (true, Some(after)) = (more, last) {
+                    return Some(CloudRequest::List { after });
+                }
+                let listing = self.fleet.listing.take().unwrap_or_default();
+                self.compare_list(&listing, now);
+            }
+            (CloudRequest::Types, CloudReply::Types(types)) => self.types = Arc::new(types),
+            _ => {}
+        }
+        None
+    }
+
+    fn rent_reply(&mut self, rental: &Rental, reply: CloudReply, now: Duration) {
+        let kind = (
+            rental.machine_type.clone(),
+            rental.zone.clone(),
+            rental.spot,
+        );
+        match reply {
+            CloudReply::Rented(ids) => {
+                info!(request = %rental.request, got = ids.len(), asked = rental.count, "rented");
+                if (ids.len() as u32) < rental.count {
+                    self.fleet
+                        .refused
+                        .insert(kind, now + Duration::from_secs(15));
+                }
+                for id in ids {
+                    self.meet(&id, &rental.machine_type, &rental.zone, rental.spot, now);
+                }
+                self.fleet.open.retain(|o| o.rental != *rental);
+            }
+            CloudReply::NoCapacity => {
+                self.fleet
+                    .refused
+                    .insert(kind, now + Duration::from_secs(15));
+                self.fleet.open.retain(|o| o.rental != *rental);
+            }
+            _ => {
+                // The same name again: it never rents twice.
+                for open in &mut self.fleet.open {
+                    if open.rental == *rental {
+                        open.in_flight = false;
+                        open.next_try = now + Duration::from_secs(2);
+                    }
+                }
+            }
+        }
+    }
+
+    fn compare_list(&mut self, listing: &[ListedMachine], now: Duration) {
+        for listed in listing {
+            let lagging = self
+                .fleet
+                .returned
+                .get(&listed.id)
+                .is_some_and(|at| now < *at + self.config.list_lag * 3);
+            if lagging {
+                continue;
+            }
+            if !self.machines.contains_key(&listed.id) {
+                let age = listed.age;
+                let machine = self.meet(
+                    &listed.id,
+                    &listed.machine_type,
+                    &listed.zone,
+                    listed.spot,
+                    now,
+                );
+                machine.first_seen = now.saturating_sub(age);
+            }
+            let machine = self.machines.get_mut(&listed.id).expect("met");
+            machine.listed_at = Some(now);
+            machine.listed_failed = listed.state == ListedState::Failed;
+        }
+    }
+
+    /// Which machines are to go: those that never came up, failed, stay silent,
+    /// fail many jobs, or have nothing to do.
+    fn plan_returns(&mut self, now: Duration) {
+        let unresolved = self.unresolved();
+        let boot: HashMap<Arc<str>, f64> = self
+            .types
+            .iter()
+            .map(|t| (t.name.clone(), t.boot_s))
+            .collect();
+        let mut leave: Vec<(MachineId, &'static str)> = Vec::new();
+        for m in self.machines.values() {
+            let boot = boot.get(&m.machine_type).copied().unwrap_or(60.0);
+            let boot_limit = Duration::from_secs_f64(boot * 4.0 + 30.0);
+            let silent = m.heard_at.unwrap_or(m.first_seen);
+            match m.standing {
+                Standing::Leaving => {}
+                _ if m.listed_failed && now > silent + self.config.worker_lease_bound => {
+                    leave.push((m.id.clone(), "failed"));
+                }
+                Standing::Booting if !m.unresolved && now > m.first_seen + boot_limit => {
+                    leave.push((m.id.clone(), "never came up"));
+                }
+                Standing::Lost if now > silent + self.config.worker_lease_bound * 5 => {
+                    leave.push((m.id.clone(), "silent"));
+                }
+                Standing::Up if m.failures.len() >= 2 => leave.push((m.id.clone(), "faulty")),
+                _ => {}
+            }
+        }
+        if !unresolved {
+            leave.extend(self.idle_machine(now).map(|id| (id, "idle")));
+        }
+        for (id, why) in leave {
+            info!(machine = %id, why, "leaving");
+            let machine = self.machines.get_mut(&id).expect("just listed");
+            machine.standing = Standing::Leaving;
+            machine.unresolved = false;
+        }
+    }
+
+    /// One idle machine that can go without taking the spare room for services.
+    fn idle_machine(&self, now: Duration) -> Option<MachineId> {
+        let idle = self
+            .machines
+            .values()
+            .filter(|m| m.standing == Standing::Up && m.tasks.is_empty())
+            .filter(|m| now > m.idle_since + self.config.options.idle)
+            .max_by(|a, b| {
+                let price = |m: &super::machine::Machine| self.price(&m.machine_type, m.spot);
+                price(a).total_cmp(&price(b))
+            })?;
+        let spare_left = self.services().into_iter().all(|spec| {
+            let slots: u32 = self
+                .machines
+                .values()
+                .filter(|m| m.id != idle.id && self.usable(m, now))
+                .filter(|m| spec.allows_type(&m.machine_type) && spec.allows_place(&m.zone, m.spot))
+                .map(|m| spec.need.times_in(&m.free()))
+                .sum();
+            slots >= 2
+        });
+        spare_left.then(|| idle.id.clone())
+    }
+
+    /// The largest service of each class that is active.
+    fn services(&self) -> Vec<Arc<JobSpec>> {
+        let mut by_class: BTreeMap<Arc<str>, Arc<JobSpec>> = BTreeMap::new();
+        for job in self.jobs.values().filter(|j| j.spec.kind == Kind::Service) {
+            let entry = by_class
+                .entry(job.spec.class.clone())
+                .or_insert_with(|| job.spec.clone());
+            if job.spec.need.cpus > entry.need.cpus {
+                *entry = job.spec.clone();
+            }
+        }
+        by_class.into_values().collect()
+    }
+
+    fn price(&self, machine_type: &str, spot: bool) -> f64 {
+        self.types
+            .iter()
+            .find(|t| &*t.name == machine_type)
+            .map_or(0.0, |t| if spot { t.spot_price } else { t.price })
+    }
+
+    /// Rents for waiting work that neither running nor booting machines will take soon.
+    fn plan_rentals(&mut self, now: Duration) {
+        self.fleet.refused.retain(|_, until| *until > now);
+        if self.fleet.open.len() >= 8 {
+            return;
+        }
+        let mut booting: Vec<(Arc<str>, Arc<str>, bool, Resources)> = self
+            .machines
+            .values()
+            .filter(|m| m.standing == Standing::Booting)
+            .map(|m| (m.machine_type.clone(), m.zone.clone(), m.spot, m.size))
+            .collect();
+        for open in &self.fleet.open {
+            let size = self.size(&open.rental.machine_type);
+            for _ in 0..open.rental.count {
+                let r = &open.rental;
+                booting.push((r.machine_type.clone(), r.zone.clone(), r.spot, size));
+            }
+        }
+        let mut demands = self.demands(now);
+        for demand in &mut demands {
+            for (kind, zone, spot, room) in &mut booting {
+                let spec = &demand.spec;
+                if demand.tasks > 0 && spec.allows_type(kind) && spec.allows_place(zone, *spot) {
+                    let n = spec.need.times_in(room).min(demand.tasks);
+                    *room = room.plus_times(&spec.need, -f64::from(n));
+                    demand.tasks -= n;
+                }
+            }
+        }
+        for demand in demands.iter().filter(|d| d.tasks > 0) {
+            let Some(rental) = self.choose_rental(&demand.spec, demand.tasks) else {
+                continue;
+            };
+            info!(request = %rental.request, kind = %rental.machine_type, zone = %rental.zone,
+                spot = rental.spot, count = rental.count, job = %demand.spec.id, "rent");
+            self.fleet.open.push(Open {
+                rental,
+                in_flight: false,
+                next_try: Duration::ZERO,
+            });
+            // One decision at a time: the next one counts what this one brings.
+            break;
+        }
+    }
+
+    fn size(&self, machine_type: &str) -> Resources {
+        self.types
+            .iter()
+            .find(|t| &*t.name == machine_type)
+            .map(|t| t.size)
+            .unwrap_or_default()
+    }
+
+    /// Waiting tasks by job, the most important first. Of finite work only what
+    /// the machines that are up will not have done by the time new ones are.
+    fn demands(&self, now: Duration) -> Vec<Demand> {
+        let up: f64 = self
+            .machines
+            .values()
+            .filter(|m| m.standing == Standing::Up && m.notice_at.is_none())
+            .map(|m| m.size.cpus)
+            .sum();
+        let mut jobs: Vec<_> = self
+            .jobs
+            .values()
+            .filter(|j| j.retry_at <= now && !j.faulty())
+            .filter(|j| j.waiting_count() as usize > j.nominations.len())
+            .collect();
+        jobs.sort_by_key(|j| (std::cmp::Reverse(j.spec.priority), j.accepted_ms, j.version));
+        let mut ahead_cpu_s = 0.0;
+        let mut demands = Vec::new();
+        for job in jobs {
+            let spec = &job.spec;
+            let waiting = job.waiting_count() - job.nominations.len() as u32;
+            let mut tasks = waiting;
+            if spec.kind == Kind::Array {
+                let per_task = spec.need.cpus * spec.estimate_s.max(1.0);
+                // What is cleared while a new machine boots needs no machine.
+                let clears = up * RENT_HORIZON.as_secs_f64();
+                let over = (ahead_cpu_s + per_task * f64::from(waiting) - clears).max(0.0);
+                ahead_cpu_s += per_task * f64::from(waiting);
+                let horizon = RENT_HORIZON.as_secs_f64().max(spec.estimate_s);
+                let wanted = over / (spec.need.cpus.max(0.01) * horizon);
+                tasks = waiting.min(wanted.ceil() as u32);
+            }
+            if tasks > 0 {
+                demands.push(Demand {
+                    spec: spec.clone(),
+                    tasks,
+                });
+            }
+        }
+        demands
+    }
+
+    /// The cheapest way to hold that many tasks, where the cloud has not refused it.
+    fn choose_rental(&mut self, spec: &JobSpec, tasks: u32) -> Option<Rental> {
+        let mut in_zone: HashMap<&str, usize> = HashMap::new();
+        for machine in self.machines.values() {
+            *in_zone.entry(&machine.zone).or_insert(0) += 1;
+        }
+        let mut best: Option<(f64, Rental)> = None;
+        for t in self.types.iter().filter(|t| spec.allows_type(&t.name)) {
+            let slots = spec.need.times_in(&t.size);
+            if slots == 0 {
+                continue;
+            }
+            for zone in &t.zones {
+                for spot in [true, false] {
+                    let kind = (t.name.clone(), zone.clone(), spot);
+                    if !spec.allows_place(zone, spot) || self.fleet.refused.contains_key(&kind) {
+                        continue;
+                    }
+                    let count = tasks.div_ceil(slots).min(4);
+                    let price = if spot { t.spot_price } else { t.price };
+                    let cost = price * f64::from(count) / f64::from(tasks.min(slots * count))
+                        * (1.0 + t.boot_s / 60.0)
+                        + 1e-4 * *in_zone.get(&**zone).unwrap_or(&0) as f64;
+                    if best.as_ref().is_none_or(|(c, _)| cost < *c) {
+                        let rental = Rental {
+                            request: String::new(),
+                            machine_type: t.name.clone(),
+                            zone: zone.clone(),
+                            spot,
+                            count,
+                        };
+                        best = Some((cost, rental));
+                    }
+                }
+            }
+        }
+        let (_, mut rental) = best?;
+        self.fleet.rented += 1;
+        rental.request = format!("{}-{}", self.fleet.prefix, self.fleet.rented);
+        Some(rental)
+    }
+}
+
+/// Waiting work that the machines do within this time needs no new ones.
+const RENT_HORIZON: Duration = Duration::from_secs(20);
--- /dev/null
+++ b/src/core/job.rs
@@ -0,0 +1,269 @@
+//! Jobs and their tasks, as every node sees them.
+
+use std::{fmt, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+
+/// A job's name, unique for ever.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct JobId(Arc<str>);
+
+impl JobId {
+    /// Only ids of the agreed form are taken, so that an id can stand in a key or a path.
+    pub fn parse(text: &str) -> Option<Self> {
+        let digits = text.strip_prefix("run-")?;
+        let fits = (1..=40).contains(&digits.len()) && digits.bytes().all(|b| b.is_ascii_digit());
+        fits.then(|| Self(Arc::from(text)))
+    }
+
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for JobId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// One task of a job.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct TaskId {
+    pub job: JobId,
+    pub index: u32,
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.job, self.index)
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// Independent tasks, each runs to completion.
+    Array,
+    /// All tasks run at the same time or none does.
+    Gang,
+    /// Replicas that run until the job is cancelled.
+    Service,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Priority {
+    Low,
+    Normal,
+    High,
+    Production,
+}
+
+/// What a user is told about a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum JobState {
+    Pending,
+    Running,
+    Done,
+    Cancelled,
+}
+
+/// What a task takes, or what a machine has.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct Resources {
+    pub cpus: f64,
+    pub gpus: f64,
+    pub memory_gb: f64,
+}
+
+/// Amounts are decimal numbers, so sums are compared with a little slack.
+const SLACK: f64 = 1e-6;
+
+impl Resources {
+    pub fn fits_in(&self, room: &Resources) -> bool {
+        self.cpus <= room.cpus + SLACK
+            && self.gpus <= room.gpus + SLACK
+            && self.memory_gb <= room.memory_gb + SLACK
+    }
+
+    pub fn plus(&self, other: &Resources) -> Resources {
+        self.plus_times(other, 1.0)
+    }
+
+    pub fn minus(&self, other: &Resources) -> Resources {
+        self.plus_times(other, -1.0)
+    }
+
+    pub fn plus_times(&self, other: &Resources, times: f64) -> Resources {
+        Resources {
+            cpus: self.cpus + other.cpus * times,
+            gpus: self.gpus + other.gpus * times,
+            memory_gb: self.memory_gb + other.memory_gb * times,
+        }
+    }
+
+    /// How many tasks of this size fit into `room`.
+    pub fn times_in(&self, room: &Resources) -> u32 {
+        let part = |need: f64, have: f64| {
+            if need <= 0.0 {
+                f64::INFINITY
+            } else {
+                ((have + SLACK) / need).floor().max(0.0)
+            }
+        };
+        part(self.cpus, room.cpus)
+            .min(part(self.gpus, room.gpus))
+            .min(part(self.memory_gb, room.memory_gb))
+            .min(1e6) as u32
+    }
+}
+
+/// What a user asked for. Stored as it is, and never changed.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobSpec {
+    pub id: JobId,
+    pub class: Arc<str>,
+    pub team: Arc<str>,
+    pub kind: Kind,
+    pub priority: Priority,
+    pub tasks: u32,
+    pub need: Resources,
+    pub image: Arc<str>,
+    pub image_gb: f64,
+    pub types: Option<Vec<String>>,
+    pub zone: Option<String>,
+    pub one_zone: bool,
+    pub spread: bool,
+    pub spot: bool,
+    pub estimate_s: f64,
+    pub checkpoint_s: f64,
+    pub save_s: f64,
+    pub deadline_s: Option<f64>,
+}
+
+impl JobSpec {
+    pub fn allows_type(&self, name: &str) -> bool {
+        self.types
+            .as_ref()
+            .is_none_or(|types| types.iter().any(|t| t == name))
+    }
+
+    pub fn allows_place(&self, zone: &str, spot: bool) -> bool {
+        (self.spot || !spot) && self.zone.as_ref().is_none_or(|z| z == zone)
+    }
+
+    /// Tasks that one zone may hold at most.
+    pub fn zone_limit(&self) -> u32 {
+        if self.spread {
+            self.tasks.div_ceil(2)
+        } else {
+            self.tasks
+        }
+    }
+}
+
+/// An accepted job in the state service.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct JobRecord {
+    pub spec: Arc<JobSpec>,
+    /// When the job was accepted, in milliseconds of the time of day.
+    pub accepted_ms: u64,
+}
+
+/// What is kept of a job for ever.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FinalRecord {
+    pub state: JobState,
+    pub done: u32,
+}
+
+/// The tasks of a job that are done, as a set of numbers kept in chunks of the
+/// state service's values.
+#[derive(Debug, Clone, Default)]
+pub struct TaskSet {
+    words: Vec<u64>,
+}
+
+/// Tasks in one stored chunk.
+pub const CHUNK: u32 = 16_384;
+
+impl TaskSet {
+    pub fn contains(&self, index: u32) -> bool {
+        self.words
+            .get(index as usize / 64)
+            .is_some_and(|w| w >> (index % 64) & 1 == 1)
+    }
+
+    pub fn insert(&mut self, index: u32) {
+        let word = index as usize / 64;
+        if self.words.len() <= word {
+            self.words.resize(word + 1, 0);
+        }
+        self.words[word] |= 1 << (index % 64);
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = u32> + '_ {
+        self.words.iter().enumerate().flat_map(|(i, &w)| {
+            (0..64u32)
+                .filter(move |b| w >> b & 1 == 1)
+                .map(move |b| i as u32 * 64 + b)
+        })
+    }
+
+    /// The chunks that hold any task.
+    pub fn chunks(&self) -> Vec<u32> {
+        let per = CHUNK as usize / 64;
+        self.words
+            .chunks(per)
+            .enumerate()
+            .filter(|(_, words)| words.iter().any(|w| *w != 0))
+            .map(|(chunk, _)| chunk as u32)
+            .collect()
+    }
+
+    /// The chunks in which this set differs from an earlier one.
+    pub fn chunks_beyond(&self, earlier: &TaskSet) -> Vec<u32> {
+        let mut more = self.clone();
+        for (word, had) in more.words.iter_mut().zip(&earlier.words) {
+            *word &= !had;
+        }
+        more.chunks()
+    }
+
+    fn chunk_words(chunk: u32) -> std::ops::Range<usize> {
+        let per = CHUNK as usize / 64;
+        chunk as usize * per..(chunk as usize + 1) * per
+    }
+
+    /// The chunk as text: one hexadecimal number per 64 tasks.
+    pub fn encode_chunk(&self, chunk: u32) -> String {
+        let range = Self::chunk_words(chunk);
+        let words: Vec<String> = self
+            .words
+            .get(range.start..range.end.min(self.words.len()))
+            .unwrap_or_default()
+            .iter()
+            .map(|w| format!("{w:x}"))
+            .collect();
+        words.join(",")
+    }
+
+    pub fn decode_chunk(&mut self, chunk: u32, text: &str) {
+        let start = Self::chunk_words(chunk).start;
+        for (i, word) in text.split(',').take(CHUNK as usize / 64).enumerate() {
+            let Ok(word) = u64::from_str_radix(word, 16) else {
+                continue;
+            };
+            let at = start + i;
+            if word != 0 {
+                if self.words.len() <= at {
+                    self.words.resize(at + 1, 0);
+                }
+                self.words[at] |= word;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/core/lead.rs
@@ -0,0 +1,344 @@
+//! Leadership: a key under a short lease in the state service.
+//!
+//! The leader counts its lease from when it asked for the last good renewal, so
+//! it stops before the service can end the lease. Its token is made of the
+//! revision of its claim, and every write of a leader depends on that claim.
+
+use std::{collections::HashMap, time::Duration};
+
+use tracing::info;
+
+use super::{
+    BACK_OFF, Node, Purpose,
+    job::{JobId, TaskSet},
+    leader::{Found, Leader},
+    machine::{MachineId, RosterRecord},
+    mirror::LeaderRecord,
+    store::{LEADER, LIVE, PROGRESS, ROSTER, StateReply, StateRequest, put_leased, when},
+};
+
+#[derive(Debug, Default)]
+pub struct Lead {
+    lease: Option<u64>,
+    /// Revision of the claim while it stands.
+    claim: Option<u64>,
+    /// Until then this node may act as the leader.
+    valid_until: Duration,
+    next_renewal: Duration,
+    renewing: bool,
+    claiming: bool,
+    retry: Duration,
+    /// This process has led before.
+    led: bool,
+    /// The former leader has stopped acting by then.
+    former_stopped: Duration,
+    taking: Option<TakeOver>,
+}
+
+impl Lead {
+    pub fn token(&self) -> Option<u64> {
+        self.claim.map(|claim| claim << 16)
+    }
+}
+
+/// What a new leader reads before it acts.
+#[derive(Debug, Default)]
+struct TakeOver {
+    started: bool,
+    synced: bool,
+    progress: Option<HashMap<JobId, TaskSet>>,
+    roster: Option<Vec<(MachineId, RosterRecord)>>,
+    progress_so_far: HashMap<JobId, TaskSet>,
+    roster_so_far: Vec<(MachineId, RosterRecord)>,
+    retry: Duration,
+    in_flight: u32,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Loading {
+    Sync { claim: u64 },
+    Progress { claim: u64 },
+    Roster { claim: u64 },
+}
+
+impl Loading {
+    fn claim(self) -> u64 {
+        match self {
+            Loading::Sync { claim } | Loading::Progress { claim } | Loading::Roster { claim } => {
+                claim
+            }
+        }
+    }
+}
+
+impl Node {
+    /// Holds a claim and is inside its term. A claim whose term ran out while
+    /// the state service was away stands again with the next good renewal, since
+    /// the lease then never ended.
+    pub(super) fn leads(&self) -> bool {
+        self.lead.claim.is_some() && self.now() < self.lead.valid_until
+    }
+
+    pub(super) fn claim(&self) -> Option<u64> {
+        self.lead.claim
+    }
+
+    pub(super) fn pump_lead(&mut self) {
+        let now = self.now();
+        if !self.mirror.loaded {
+            return;
+        }
+        if let Some(lease) = self.lead.lease
+            && !self.lead.renewing
+            && now >= self.lead.next_renewal
+        {
+            self.lead.renewing = true;
+            self.lead.next_renewal = now + self.config.renew_every;
+            self.call(Purpose::Renew { sent: now }, StateRequest::Renew { lease });
+        }
+        if self.lead.claim.is_some() {
+            self.pump_take_over();
+            return;
+        }
+        let vacant = match &self.mirror.leader {
+            None => true,
+            // A process that ended never acts again: its successor on the same
+            // node need not wait for the end of its lease.
+            Some((record, _)) => record.node == self.config.node,
+        };
+        if !vacant || self.lead.claiming || now < self.lead.retry {
+            return;
+        }
+        self.lead.claiming = true;
+        let version = self
+            .mirror
+            .leader
+            .as_ref()
+            .map_or(0, |(_, version)| *version);
+        match self.lead.lease {
+            None => self.call(
+                Purpose::Grant,
+                StateRequest::Grant {
+                    ttl: self.config.leader_ttl,
+                },
+            ),
+            Some(lease) => {
+                let record = LeaderRecord {
+                    node: self.config.node.clone(),
+                };
+                self.call(
+                    Purpose::Claim { lease, sent: now },
+                    StateRequest::Txn {
+                        conditions: vec![when(LEADER, version)],
+                        changes: vec![put_leased(LEADER, &record, Some(lease))],
+                    },
+                );
+            }
+        }
+    }
+
+    pub(super) fn granted(&mut self, reply: StateReply) {
+        self.lead.claiming = false;
+        match reply {
+            StateReply::Granted { lease } => {
+                self.lead.lease = Some(lease);
+                // The claim follows at once; a renewal fixes the start of the term.
+                self.lead.next_renewal = self.now();
+            }
+            _ => self.lead.retry = self.now() + BACK_OFF,
+        }
+    }
+
+    pub(super) fn renewed(&mut self, sent: Duration, reply: StateReply) {
+        self.lead.renewing = false;
+        match reply {
+            StateReply::Renewed => {
+                let until = sent + self.config.leader_term;
+                self.lead.valid_until = self.lead.valid_until.max(until);
+            }
+            StateReply::LeaseGone => {
+                self.lead.lease = None;
+                self.lead.valid_until = Duration::ZERO;
+                self.drop_leader("its lease is gone");
+            }
+            _ => self.lead.next_renewal = self.now() + BACK_OFF,
+        }
+    }
+
+    pub(super) fn claimed(&mut self, lease: u64, sent: Duration, reply: StateReply) {
+        self.lead.claiming = false;
+        let now = self.now();
+        match reply {
+            StateReply::Committed { revision } if self.lead.lease == Some(lease) => {
+                info!(claim = revision, after = ?(now - sent), "lead");
+                self.lead.claim = Some(revision);
+                // A predecessor on this node ended before this process began.
+                let predecessor = !self.lead.led
+                    && self
+                        .mirror
+                        .leader
+                        .as_ref()
+                        .is_some_and(|(record, _)| record.node == self.config.node);
+                self.lead.former_stopped = match predecessor {
+                    true => Duration::ZERO,
+                    false => now,
+                };
+                self.lead.led = true;
+                self.lead.taking = Some(TakeOver::default());
+            }
+            StateReply::LeaseGone => {
+                self.lead.lease = None;
+                self.lead.retry = now;
+            }
+            // Unclear: the watch shows whether the claim stands; if it does, it
+            // is taken again as one of this node's own.
+            _ => self.lead.retry = now + BACK_OFF,
+        }
+    }
+
+    /// The leader key has changed.
+    pub(super) fn leader_changed(&mut self) {
+        let standing = self.mirror.leader.as_ref().map(|(_, version)| *version);
+        if let Some(claim) = self.lead.claim
+            && self.mirror.cursor >= claim
+            && standing != Some(claim)
+        {
+            self.drop_leader("its claim is gone");
+        }
+        if standing.is_none() {
+            self.lead.retry = self.now();
+        }
+    }
+
+    pub(super) fn drop_leader(&mut self, why: &str) {
+        if self.lead.claim.take().is_some() {
+            info!(why, "no longer leads");
+        }
+        self.leader = None;
+        self.lead.taking = None;
+        self.saves.reset();
+    }
+
+    fn pump_take_over(&mut self) {
+        let now = self.now();
+        let (Some(taking), Some(claim)) = (&mut self.lead.taking, self.lead.claim) else {
+            return;
+        };
+        if now < self.lead.valid_until
+            && !taking.started
+            && taking.in_flight == 0
+            && now >= taking.retry
+        {
+            taking.started = true;
+            taking.progress_so_far.clear();
+            taking.roster_so_far.clear();
+            taking.in_flight = 3;
+            let after = self.mirror.cursor;
+            self.call(
+                Purpose::TakeOver(Loading::Sync { claim }),
+                StateRequest::Watch {
+                    prefix: LIVE,
+                    after,
+                    wait: Duration::ZERO,
+                },
+            );
+            self.take_over_page(Loading::Progress { claim }, None);
+            self.take_over_page(Loading::Roster { claim }, None);
+            return;
+        }
+        if taking.in_flight > 0
+            || !taking.synced
+            || taking.progress.is_none()
+            || taking.roster.is_none()
+        {
+            return;
+        }
+        let Some(types) = self.mirror.types.clone() else {
+            return;
+        };
+        let taking = self.lead.taking.take().expect("just seen");
+        let found = Found {
+            jobs: &self.mirror.jobs,
+            progress: taking.progress.unwrap_or_default(),
+            roster: taking.roster.unwrap_or_default(),
+            resolve_by: self.lead.former_stopped + self.config.worker_lease_bound,
+        };
+        self.leader = Some(Leader::new(self.config.clone(), claim, types, found, now));
+    }
+
+    fn take_over_page(&mut self, loading: Loading, after: Option<String>) {
+        let prefix = match loading {
+            Loading::Roster { .. } => ROSTER,
+            _ => PROGRESS,
+        };
+        self.call(
+            Purpose::TakeOver(loading),
+            StateRequest::List { prefix, after },
+        );
+    }
+
+    pub(super) fn take_over_reply(&mut self, loading: Loading, reply: StateReply) {
+        if let Loading::Sync { .. } = loading
+            && matches!(reply, StateReply::Events { .. } | StateReply::TooOld)
+        {
+            let proven = self.take_events(reply);
+            // What was read before the claim could miss what came until then.
+            if let Some(taking) = &mut self.lead.taking
+                && self.lead.claim == Some(loading.claim())
+            {
+                taking.synced = proven;
+                taking.in_flight -= 1;
+            }
+            return;
+        }
+        let now = self.now();
+        if self.lead.claim != Some(loading.claim()) {
+            return;
+        }
+        let Some(taking) = &mut self.lead.taking else {
+            return;
+        };
+        let StateReply::Entries { entries, more, .. } = reply else {
+            taking.in_flight -= 1;
+            taking.started = false;
+            taking.retry = now + BACK_OFF;
+            return;
+        };
+        let last = entries.last().map(|e| e.key.clone());
+        for entry in &entries {
+            match loading {
+                Loading::Roster { .. } => {
+                    if let Some(id) = entry.key.strip_prefix(ROSTER)
+                        && let Ok(record) = serde_json::from_str(entry.value.get())
+                    {
+                        taking.roster_so_far.push((id.into(), record));
+                    }
+                }
+                _ => {
+                    let chunk = entry
+                        .key
+                        .strip_prefix(PROGRESS)
+                        .and_then(|rest| rest.split_once('/'))
+                        .and_then(|(id, chunk)| Some((JobId::parse(id)?, chunk.parse().ok()?)));
+                    if let Some((id, chunk)) = chunk
+                        && let Ok(text) = serde_json::from_str::<String>(entry.value.get())
+                    {
+                        let set = taking.progress_so_far.entry(id).or_default();
+                        set.decode_chunk(chunk, &text);
+                    }
+                }
+            }
+        }
+        if let (true, Some(_)) = (more, &last) {
+            self.take_over_page(loading, last);
+            return;
+        }
+        taking.in_flight -= 1;
+        match loading {
+            Loading::Roster { .. } => {
+                taking.roster = Some(std::mem::take(&mut taking.roster_so_far));
+            }
+            _ => taking.progress = Some(std::mem::take(&mut taking.progress_so_far)),
+        }
+    }
+}
--- /dev/null
+++ b/src/core/leader.rs
@@ -0,0 +1,807 @@
+//! The leader's book of jobs and picture of machines: where each task is or may be.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    sync::Arc,
+    time::Duration,
+};
+
+use tracing::{debug, info};
+
+use super::{
+    config::Config,
+    fleet::Fleet,
+    job::{JobId, JobSpec, Kind, TaskId, TaskSet},
+    machine::{
+        Command, Machine, MachineId, MachineType, Phase, Placement, ReportedTask, RosterRecord,
+        Standing, Stop, TaskPhase, Why, WorkerReport,
+    },
+    mirror::LiveJob,
+    queue::Queue,
+    store::progress_key,
+};
+
+/// Where one task stands.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Slot {
+    Waiting,
+    On(MachineId),
+    Done,
+}
+
+/// An active job in the leader's book.
+#[derive(Debug)]
+pub struct Job {
+    pub spec: Arc<JobSpec>,
+    pub version: u64,
+    pub accepted_ms: u64,
+    pub slots: Vec<Slot>,
+    /// Waiting tasks, the next one last. May name tasks that wait no longer.
+    pub waiting: Vec<u32>,
+    pub placed: u32,
+    pub running: u32,
+    pub done: TaskSet,
+    pub done_count: u32,
+    pub saved: TaskSet,
+    /// Since when there are results that are not stored.
+    pub unsaved_since: Option<Duration>,
+    pub saving: bool,
+    /// Machines that the job's tasks failed on.
+    pub failed_on: BTreeSet<MachineId>,
+    pub failures: u32,
+    pub retry_at: Duration,
+    /// Machines held for waiting tasks, one entry a task.
+    pub nominations: Vec<MachineId>,
+}
+
+impl Job {
+    fn new(live: &LiveJob, done: TaskSet) -> Self {
+        let spec = live.record.spec.clone();
+        let slots: Vec<Slot> = (0..spec.tasks)
+            .map(|i| match done.contains(i) {
+                true => Slot::Done,
+                false => Slot::Waiting,
+            })
+            .collect();
+        let waiting: Vec<u32> = (0..spec.tasks)
+            .rev()
+            .filter(|i| !done.contains(*i))
+            .collect();
+        Self {
+            version: live.version,
+            accepted_ms: live.record.accepted_ms,
+            done_count: spec.tasks - waiting.len() as u32,
+            slots,
+            waiting,
+            placed: 0,
+            running: 0,
+            saved: done.clone(),
+            done,
+            unsaved_since: None,
+            saving: false,
+            failed_on: BTreeSet::new(),
+            failures: 0,
+            retry_at: Duration::ZERO,
+            nominations: Vec::new(),
+            spec,
+        }
+    }
+
+    pub fn waiting_count(&self) -> u32 {
+        self.spec.tasks - self.done_count - self.placed
+    }
+
+    /// The next waiting task, left in its place.
+    pub fn next_waiting(&mut self) -> Option<u32> {
+        while let Some(&index) = self.waiting.last() {
+            if self.slots[index as usize] == Slot::Waiting {
+                return Some(index);
+            }
+            self.waiting.pop();
+        }
+        None
+    }
+
+    pub fn complete(&self) -> bool {
+        self.spec.kind != Kind::Service && self.done_count == self.spec.tasks
+    }
+
+    /// The job fails wherever it runs, so its failures say nothing of machines.
+    pub fn faulty(&self) -> bool {
+        self.failed_on.len() >= 3
+    }
+}
+
+/// The picture of one leader, built at its take-over and dropped with its claim.
+pub struct Leader {
+    pub config: Arc<Config>,
+    pub claim: u64,
+    pub token: u64,
+    pub types: Arc<Vec<MachineType>>,
+    pub jobs: HashMap<JobId, Job>,
+    pub machines: BTreeMap<MachineId, Machine>,
+    pub queue: Queue,
+    pub fleet: Fleet,
+    /// Until then a silent machine may hold tasks that a former leader started.
+    pub resolve_by: Duration,
+    attempts: u64,
+    pub next_pass: Duration,
+    pub counts: Counts,
+    /// Machines that are gone, to be taken off the stored roster.
+    pub departed: Vec<MachineId>,
+    /// Stored results of jobs that are over.
+    pub garbage: Vec<String>,
+}
+
+/// What a take-over found in the state service.
+pub struct Found<'a> {
+    pub jobs: &'a HashMap<JobId, LiveJob>,
+    pub progress: HashMap<JobId, TaskSet>,
+    pub roster: Vec<(MachineId, RosterRecord)>,
+    /// By then every lease that a former leader kept alive is over.
+    pub resolve_by: Duration,
+}
+
+/// Counters that the log shows now and then.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct Counts {
+    pub starts: u64,
+    pub victims: u64,
+    pub nominations: u64,
+    pub cleared: u64,
+    pub lost: u64,
+}
+
+impl Leader {
+    pub fn new(
+        config: Arc<Config>,
+        claim: u64,
+        types: Arc<Vec<MachineType>>,
+        found: Found<'_>,
+        now: Duration,
+    ) -> Self {
+        let Found {
+            jobs: live,
+            mut progress,
+            roster,
+            resolve_by,
+        } = found;
+        let mut leader = Self {
+            claim,
+            token: claim << 16,
+            jobs: HashMap::new(),
+            machines: BTreeMap::new(),
+            queue: Queue::default(),
+            fleet: Fleet::new(format!("{}-{claim}", config.node)),
+            resolve_by,
+            attempts: claim << 24,
+            next_pass: Duration::ZERO,
+            counts: Counts::default(),
+            departed: Vec::new(),
+            garbage: Vec::new(),
+            types,
+            config,
+        };
+        for (id, record) in roster {
+            let mut machine = leader.machine(
+                id.clone(),
+                record.machine_type,
+                record.zone,
+                record.spot,
+                now,
+            );
+            machine.enrolled = true;
+            machine.unresolved = true;
+            leader.machines.insert(id, machine);
+        }
+        for (id, job) in live {
+            let done = progress.remove(id).unwrap_or_default();
+            leader.add_job(id, job, done);
+        }
+        for (id, set) in progress {
+            leader.discard_results(&id, &set);
+        }
+        info!(
+            claim,
+            jobs = leader.jobs.len(),
+            machines = leader.machines.len(),
+            "take-over"
+        );
+        leader
+    }
+
+    fn machine(
+        &self,
+        id: MachineId,
+        machine_type: Arc<str>,
+        zone: Arc<str>,
+        spot: bool,
+        now: Duration,
+    ) -> Machine {
+        let size = self
+            .types
+            .iter()
+            .find(|t| t.name == machine_type)
+            .map(|t| t.size)
+            .unwrap_or_default();
+        Machine::new(id, machine_type, zone, spot, size, now)
+    }
+
+    pub fn meet(
+        &mut self,
+        id: &MachineId,
+        machine_type: &Arc<str>,
+        zone: &Arc<str>,
+        spot: bool,
+        now: Duration,
+    ) -> &mut Machine {
+        if !self.machines.contains_key(id) {
+            let machine = self.machine(id.clone(), machine_type.clone(), zone.clone(), spot, now);
+            self.machines.insert(id.clone(), machine);
+        }
+        self.machines.get_mut(id).expect("just inserted")
+    }
+
+    /// A number that no other start of any leader has.
+    pub fn next_attempt(&mut self) -> u64 {
+        self.attempts += 1;
+        self.attempts
+    }
+
+    pub fn add_job(&mut self, id: &JobId, live: &LiveJob, done: TaskSet) {
+        if self.jobs.contains_key(id) {
+            return;
+        }
+        let job = Job::new(live, done);
+        self.queue.push(id, &job);
+        self.jobs.insert(id.clone(), job);
+        self.wake();
+    }
+
+    /// The job is done or cancelled: whatever is left of it stops.
+    pub fn remove_job(&mut self, id: &JobId, now: Duration) {
+        let Some(job) = self.jobs.remove(id) else {
+            return;
+        };
+        self.discard_results(id, &job.saved);
+        self.queue.remove(id);
+        for machine in self.machines.values_mut() {
+            machine.tasks.retain(|(task, _), placement| {
+                if task.job != *id {
+                    return true;
+                }
+                placement.foreign = true;
+                placement.stop = Some(Stop {
+                    grace: Duration::ZERO,
+                    at: now,
+                });
+                placement.phase != Phase::Decided
+            });
+        }
+        self.requeue();
+    }
+
+    /// What is stored of a job's results is of no more use.
+    fn discard_results(&mut self, id: &JobId, saved: &TaskSet) {
+        for chunk in saved.chunks() {
+            self.garbage.push(progress_key(id, chunk));
+        }
+    }
+
+    /// The machine was returned, with all that was on it.
+    pub fn machine_gone(&mut self, id: &MachineId, now: Duration) {
+        self.session_over(id, now);
+        if let Some(machine) = self.machines.remove(id)
+            && machine.enrolled
+        {
+            self.departed.push(id.clone());
+        }
+    }
+
+    /// Asks for a scheduling pass soon.
+    pub fn wake(&mut self) {
+        self.queue.dirty = true;
+    }
+
+    /// Any end of a task, and any change of machines, gives the parked another chance.
+    pub fn requeue(&mut self) {
+        self.queue.unpark(&self.jobs);
+        self.wake();
+    }
+
+    /// A silent machine may hold tasks that a former leader started. Only jobs
+    /// accepted since the claim can't be among them.
+    pub fn held(&self, job: &Job) -> bool {
+        job.version < self.claim && self.unresolved()
+    }
+
+    pub fn unresolved(&self) -> bool {
+        self.machines.values().any(|m| m.unresolved)
+    }
+
+    /// Takes in a report and says what to answer, or none where it came too late.
+    pub fn report(&mut self, report: &WorkerReport, now: Duration) -> Option<Vec<Command>> {
+        let id = report.machine.clone();
+        let token = self.token;
+        let machine = self.meet(&id, &report.machine_type, &report.zone, report.spot, now);
+        // A report of a session that is over, or older than one seen already,
+        // was held back on its way; nobody waits for its answer.
+        let late = report.session <= machine.dead_session
+            || report.session < machine.session
+            || (report.session == machine.session && report.seq <= machine.report_seq);
+        if late {
+            debug!(machine = %id, report.session, report.seq, "late report");
+            return None;
+        }
+        let new_session = report.session > machine.session;
+        if new_session {
+            machine.session = report.session;
+            machine.report_seq = 0;
+        }
+        let was_up = machine.standing == Standing::Up && machine.fenced;
+        machine.addr = Some(report.addr);
+        machine.heard_at = Some(now);
+        machine.answered_at = Some(now);
+        if matches!(machine.standing, Standing::Booting | Standing::Lost) {
+            info!(machine = %id, kind = %machine.machine_type, zone = %machine.zone, "machine up");
+            machine.standing = Standing::Up;
+            machine.idle_since = now;
+        }
+        // Only a worker that knows this leader's token has answered after the
+        // claim: an older report could have been overtaken by a start.
+        machine.fenced = report.token >= token;
+        if machine.fenced && machine.unresolved {
+            machine.unresolved = false;
+        }
+        if let Some(notice) = report.notice_s
+            && machine.notice_at.is_none()
+        {
+            let notice = crate::settings::seconds(notice);
+            info!(machine = %id, ?notice, "spot notice");
+            machine.notice_at = Some(now + notice);
+        }
+        let now_up = machine.standing == Standing::Up && machine.fenced;
+        if new_session {
+            self.session_over(&id, now);
+        }
+        self.take_in(&id, report.seq, &report.tasks, now);
+        let machine = self.machines.get_mut(&id)?;
+        machine.report_seq = report.seq;
+        if now_up && !was_up {
+            self.requeue();
+        }
+        Some(self.commands(&id, report.seq))
+    }
+
+    /// A new session has none of the tasks of the one before.
+    fn session_over(&mut self, id: &MachineId, now: Duration) {
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
+        let gone = std::mem::take(&mut machine.tasks);
+        machine.idle_since = now;
+        for ((task, _), placement) in gone {
+            // A start that was only decided never left, but its place is new now.
+            self.ended(id, &task, &placement, None, now);
+        }
+    }
+
+    /// The worker's list of tasks against what is known of the machine.
+    fn take_in(&mut self, id: &MachineId, seq: u64, tasks: &[ReportedTask], now: Duration) {
+        let mut listed = BTreeSet::new();
+        for reported in tasks {
+            let key = (reported.task.clone(), reported.attempt);
+            listed.insert(key.clone());
+            self.take_in_task(id, key, reported.phase, now);
+        }
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
+        let gone: Vec<_> = machine
+            .tasks
+            .iter()
+            .filter(|(key, placement)| {
+                !listed.contains(key)
+                    && match placement.phase {
+                        Phase::Decided => false,
+                        Phase::Sent { seq: sent } => seq > sent,
+                        Phase::Seen(_) => true,
+                    }
+            })
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in gone {
+            let machine = self.machines.get_mut(id).expect("still there");
+            let placement = machine.tasks.remove(&key).expect("just listed");
+            if !machine.busy() {
+                machine.idle_since = now;
+            }
+            if !placement.exited() {
+                self.ended(id, &key.0, &placement, None, now);
+            }
+        }
+    }
+
+    fn take_in_task(
+        &mut self,
+        id: &MachineId,
+        key: (TaskId, u64),
+        phase: TaskPhase,
+        now: Duration,
+    ) {
+        if !self.machines[id].tasks.contains_key(&key) {
+            self.adopt(id, &key, phase, now);
+        }
+        let machine = self.machines.get_mut(id).expect("known machine");
+        let placement = machine.tasks.get_mut(&key).expect("adopted");
+        let before = placement.phase;
+        if before == Phase::Seen(phase) {
+            return;
+        }
+        placement.phase = Phase::Seen(phase);
+        let placement = placement.clone();
+        let has_image = phase.on_machine() || matches!(phase, TaskPhase::Exited(Why::Done));
+        if has_image && let Some(spec) = &placement.spec {
+            machine.images.insert(spec.image.clone(), now);
+            self.trim_cache(id, now);
+        }
+        let ran = matches!(before, Phase::Seen(TaskPhase::Running));
+        if !placement.foreign
+            && let Some(job) = self.jobs.get_mut(&key.0.job)
+        {
+            if phase == TaskPhase::Running {
+                job.running += 1;
+            } else if ran {
+                job.running -= 1;
+            }
+        }
+        if let TaskPhase::Exited(why) = phase {
+            let machine = self.machines.get_mut(id).expect("known machine");
+            if !machine.busy() {
+                machine.idle_since = now;
+            }
+            self.ended(
+                id,
+                &key.0,
+                &Placement {
+                    phase: Phase::Seen(TaskPhase::Waiting),
+                    ..placement
+                },
+                Some(why),
+                now,
+            );
+        }
+    }
+
+    /// A task in a report that this leader did not start: one that a former
+    /// leader started, or one that has no business there.
+    fn adopt(&mut self, id: &MachineId, key: &(TaskId, u64), phase: TaskPhase, now: Duration) {
+        let job = self.jobs.get_mut(&key.0.job);
+        let spec = job.as_ref().map(|job| job.spec.clone());
+        let mut ours = false;
+        if let Some(job) = job
+            && !phase.exited()
+            && let Some(slot) = job.slots.get_mut(key.0.index as usize)
+            && *slot == Slot::Waiting
+        {
+            *slot = Slot::On(id.clone());
+            job.placed += 1;
+            ours = true;
+        }
+        // The result of a task counts wherever it was reached.
+        let finished = phase == TaskPhase::Exited(Why::Done);
+        let machine = self.machines.get_mut(id).expect("known machine");
+        let stop = (!ours).then_some(Stop {
+            grace: Duration::ZERO,
+            at: now,
+        });
+        machine.tasks.insert(
+            key.clone(),
+            Placement {
+                phase: Phase::Sent { seq: 0 },
+                need: spec.as_ref().map_or(machine.size, |spec| spec.need),
+                spec,
+                since: now,
+                stop,
+                foreign: !ours,
+            },
+        );
+        if finished {
+            self.finish(&key.0, now);
+        }
+    }
+
+    /// A placement has come to its end; `why` is none where it just went.
+    fn ended(
+        &mut self,
+        id: &MachineId,
+        task: &TaskId,
+        placement: &Placement,
+        why: Option<Why>,
+        now: Duration,
+    ) {
+        self.queue.dirty = true;
+        if why == Some(Why::Done) {
+            if !placement.foreign {
+                self.release_slot(task, placement);
+            }
+            self.finish(task, now);
+        } else if !placement.foreign {
+            self.release_slot(task, placement);
+            self.failed(id, task, why, now);
+        }
+        self.requeue();
+    }
+
+    fn release_slot(&mut self, task: &TaskId, placement: &Placement) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let slot = &mut job.slots[task.index as usize];
+        if matches!(slot, Slot::On(_)) {
+            *slot = Slot::Waiting;
+            job.placed -= 1;
+            job.waiting.push(task.index);
+            if placement.phase == Phase::Seen(TaskPhase::Running) {
+                job.running -= 1;
+            }
+            self.queue.push(&task.job, job);
+        }
+    }
+
+    fn finish(&mut self, task: &TaskId, now: Duration) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        // Replicas run until their job is cancelled.
+        if job.spec.kind == Kind::Service || task.index >= job.spec.tasks {
+            return;
+        }
+        let all = match job.spec.kind {
+            Kind::Gang => 0..job.spec.tasks,
+            _ => task.index..task.index + 1,
+        };
+        for index in all {
+            if job.done.contains(index) {
+                continue;
+            }
+            job.done.insert(index);
+            job.done_count += 1;
+            job.unsaved_since.get_or_insert(now);
+            match &job.slots[index as usize] {
+                Slot::On(_) => job.placed -= 1,
+                Slot::Waiting | Slot::Done => {}
+            }
+            let slot = std::mem::replace(&mut job.slots[index as usize], Slot::Done);
+            if let Slot::On(machine) = slot
+                && let Some(machine) = self.machines.get_mut(&machine)
+            {
+                // Nothing of a done task is needed any more.
+                for ((t, _), p) in &mut machine.tasks {
+                    if t.job == task.job && t.index == index && !p.exited() {
+                        if p.phase == Phase::Seen(TaskPhase::Running) {
+                            job.running -= 1;
+                        }
+                        p.foreign = true;
+                        p.stop.get_or_insert(Stop {
+                            grace: Duration::ZERO,
+                            at: now,
+                        });
+                    }
+                }
+            }
+        }
+    }
+
+    fn failed(&mut self, id: &MachineId, task: &TaskId, why: Option<Why>, now: Duration) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        if why == Some(Why::Error) {
+            job.failures += 1;
+            if job.failed_on.len() < 16 {
+                job.failed_on.insert(id.clone());
+            }
+            let faulty = job.faulty();
+            if faulty {
+                // Its owner must cancel it; until then it is tried ever more seldom.
+                let doublings = job.failures.min(9) as i32 - 3;
+                job.retry_at = now + Duration::from_secs_f64(2f64.powi(doublings.max(0)));
+            }
+            info!(task = %task, machine = %id, failures = job.failures, "task failed");
+            let machine = self.machines.get_mut(id).expect("known machine");
+            if !faulty && !machine.failures.iter().any(|(j, _)| *j == task.job) {
+                machine.failures.push((task.job.clone(), now));
+            }
+        }
+        if matches!(why, Some(Why::Unknown | Why::Busy)) {
+            job.retry_at = now + self.config.report * 2;
+        }
+        if job.spec.kind == Kind::Gang {
+            let id = task.job.clone();
+            self.break_gang(&id, Duration::ZERO, now);
+        }
+    }
+
+    /// Stops what is left of a gang; it starts again once all of it is gone.
+    pub fn break_gang(&mut self, id: &JobId, grace: Duration, now: Duration) {
+        let mut unsent = Vec::new();
+        for machine in self.machines.values_mut() {
+            machine.tasks.retain(|(task, _), p| {
+                if task.job != *id || p.foreign || p.exited() {
+                    return true;
+                }
+                if p.phase == Phase::Decided {
+                    unsent.push((task.clone(), p.clone()));
+                    return false;
+                }
+                p.stop.get_or_insert(Stop { grace, at: now });
+                true
+            });
+        }
+        for (task, placement) in unsent {
+            self.release_slot(&task, &placement);
+        }
+    }
+
+    /// Tells a task to stop. One that was never sent is just not started.
+    pub fn stop(&mut self, id: &MachineId, key: &(TaskId, u64), grace: Duration, now: Duration) {
+        let gang = self
+            .jobs
+            .get(&key.0.job)
+            .is_some_and(|job| job.spec.kind == Kind::Gang);
+        if gang {
+            self.break_gang(&key.0.job.clone(), grace, now);
+            return;
+        }
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
+        let Some(placement) = machine.tasks.get_mut(key) else {
+            return;
+        };
+        if placement.phase == Phase::Decided {
+            let placement = machine.tasks.remove(key).expect("just seen");
+            self.release_slot(&key.0, &placement);
+            self.requeue();
+        } else if placement.stop.is_none() {
+            placement.stop = Some(Stop { grace, at: now });
+        }
+    }
+
+    /// Everything the worker should do now, in order: room is made before it is used.
+    fn commands(&mut self, id: &MachineId, seq: u64) -> Vec<Command> {
+        let machine = self.machines.get_mut(id).expect("known machine");
+        let (mut ends, mut starts) = (Vec::new(), Vec::new());
+        for ((task, attempt), placement) in &mut machine.tasks {
+            let (task, attempt) = (task.clone(), *attempt);
+            match (placement.phase, placement.stop) {
+                (Phase::Seen(TaskPhase::Exited(why)), _) => {
+                    // A result must be stored before the worker forgets it.
+                    let stored = match self.jobs.get(&task.job) {
+                        Some(job) if why == Why::Done => {
+                            job.spec.kind == Kind::Service || job.saved.contains(task.index)
+                        }
+                        _ => true,
+                    };
+                    if stored {
+                        ends.push(Command::Forget { task, attempt });
+                    }
+                }
+                (Phase::Decided | Phase::Sent { .. }, None) if machine.fenced => {
+                    placement.phase = Phase::Sent { seq };
+                    starts.push(Command::Start { task, attempt });
+                }
+                (Phase::Seen(_), Some(stop)) => ends.push(Command::Stop {
+                    task,
+                    attempt,
+                    grace: stop.grace,
+                }),
+                _ => {}
+            }
+        }
+        ends.extend(starts);
+        // The answer stays under the protocol's limit for one line.
+        ends.truncate(400);
+        ends
+    }
+
+    /// Puts a waiting task on a machine.
+    pub fn place(&mut self, id: &MachineId, task: TaskId, attempt: u64, now: Duration) {
+        let job = self.jobs.get_mut(&task.job).expect("job of a waiting task");
+        job.slots[task.index as usize] = Slot::On(id.clone());
+        job.placed += 1;
+        // One nomination fewer is needed: the one of this machine, if there is one.
+        if let Some(at) = job.nominations.iter().position(|m| m == id) {
+            job.nominations.remove(at);
+        }
+        let waiting = job.waiting_count() as usize;
+        job.nominations.truncate(waiting);
+        let machine = self.machines.get_mut(id).expect("known machine");
+        debug!(task = %task, machine = %id, attempt, "place");
+        self.counts.starts += 1;
+        machine.tasks.insert(
+            (task, attempt),
+            Placement {
+                phase: Phase::Decided,
+                need: job.spec.need,
+                spec: Some(job.spec.clone()),
+                since: now,
+                stop: None,
+                foreign: false,
+            },
+        );
+    }
+
+    /// What time brings: leases that are over, and silent machines proven empty.
+    pub fn tick(&mut self, now: Duration) {
+        let lease = self.config.worker_lease_bound;
+        let lost: Vec<MachineId> = self
+            .machines
+            .values()
+            .filter(|m| m.standing == Standing::Up || m.standing == Standing::Leaving)
+            .filter(|m| m.answered_at.is_some_and(|at| now > at + lease))
+            .filter(|m| m.session > m.dead_session)
+            .map(|m| m.id.clone())
+            .collect();
+        for id in lost {
+            let machine = self.machines.get_mut(&id).expect("just listed");
+            machine.dead_session = machine.session;
+            machine.fenced = false;
+            // Heard once under this claim, so its lease was counted from then.
+            machine.unresolved = false;
+            if machine.standing == Standing::Up {
+                machine.standing = Standing::Lost;
+            }
+            self.counts.lost += 1;
+            info!(machine = %id, tasks = machine.tasks.len(), "machine lost");
+            self.session_over(&id, now);
+            self.requeue();
+        }
+        if now > self.resolve_by && self.unresolved() {
+            for machine in self.machines.values_mut().filter(|m| m.unresolved) {
+                info!(machine = %machine.id, "silent machine proven empty");
+                machine.unresolved = false;
+                if machine.standing == Standing::Booting {
+                    machine.standing = Standing::Lost;
+                }
+            }
+            self.requeue();
+        }
+    }
+
+    fn trim_cache(&mut self, id: &MachineId, now: Duration) {
+        let sizes: HashMap<Arc<str>, f64> = self
+            .jobs
+            .values()
+            .map(|j| (j.spec.image.clone(), j.spec.image_gb))
+            .collect();
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
+        let room = self
+            .types
+            .iter()
+            .find(|t| t.name == machine.machine_type)
+            .map_or(0.0, |t| t.cache_gb);
+        let size = |image: &Arc<str>| sizes.get(image).copied().unwrap_or(1.0);
+        let mut held: f64 = machine.images.keys().map(size).sum();
+        while held > room {
+            let oldest = machine
+                .images
+                .iter()
+                .filter(|(_, used)| **used < now)
+                .min_by_key(|(_, used)| **used)
+                .map(|(image, _)| image.clone());
+            let Some(oldest) = oldest else { break };
+            held -= size(&oldest);
+            machine.images.remove(&oldest);
+        }
+    }
+
+    /// Done and running tasks of a job, for display.
+    pub fn job_counts(&self, id: &JobId) -> Option<(u32, u32)> {
+        let job = self.jobs.get(id)?;
+        Some((job.done_count, job.running))
+    }
+}
--- /dev/null
+++ b/src/core/machine.rs
@@ -0,0 +1,298 @@
+//! Machines, what runs on them, and what their workers say and are told.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+
+use super::job::{JobId, JobSpec, Resources, TaskId};
+
+pub type MachineId = Arc<str>;
+
+/// A kind of machine that the cloud rents.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct MachineType {
+    pub name: Arc<str>,
+    pub size: Resources,
+    pub cache_gb: f64,
+    pub fetch_gb_per_s: f64,
+    pub price: f64,
+    pub spot_price: f64,
+    pub boot_s: f64,
+    pub zones: Vec<Arc<str>>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ListedState {
+    Booting,
+    Running,
+    Failed,
+}
+
+/// A machine in the cloud's list.
+#[derive(Debug, Clone)]
+pub struct ListedMachine {
+    pub id: MachineId,
+    pub machine_type: Arc<str>,
+    pub zone: Arc<str>,
+    pub spot: bool,
+    pub state: ListedState,
+    pub age: Duration,
+}
+
+/// Why a task exited.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Why {
+    Done,
+    Stopped { saved: bool },
+    Peers,
+    Incomplete,
+    Error,
+    NoRoom,
+    Busy,
+    Unknown,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TaskPhase {
+    Fetching,
+    Waiting,
+    Running,
+    Saving,
+    Exited(Why),
+}
+
+impl TaskPhase {
+    pub fn exited(self) -> bool {
+        matches!(self, TaskPhase::Exited(_))
+    }
+
+    /// The task has its image.
+    pub fn on_machine(self) -> bool {
+        matches!(
+            self,
+            TaskPhase::Waiting | TaskPhase::Running | TaskPhase::Saving
+        )
+    }
+}
+
+#[derive(Debug, Clone)]
+pub struct ReportedTask {
+    pub task: TaskId,
+    pub attempt: u64,
+    pub phase: TaskPhase,
+}
+
+/// A worker's report.
+#[derive(Debug, Clone)]
+pub struct WorkerReport {
+    pub machine: MachineId,
+    pub addr: SocketAddr,
+    pub machine_type: Arc<str>,
+    pub zone: Arc<str>,
+    pub spot: bool,
+    pub session: u64,
+    pub seq: u64,
+    pub token: u64,
+    pub notice_s: Option<f64>,
+    pub tasks: Vec<ReportedTask>,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Command {
+    Start {
+        task: TaskId,
+        attempt: u64,
+    },
+    Stop {
+        task: TaskId,
+        attempt: u64,
+        grace: Duration,
+    },
+    Forget {
+        task: TaskId,
+        attempt: u64,
+    },
+}
+
+/// What is stored of a machine before its first start.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct RosterRecord {
+    pub machine_type: Arc<str>,
+    pub zone: Arc<str>,
+    pub spot: bool,
+}
+
+/// How far a start command has come.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Phase {
+    /// Decided, in no message yet.
+    Decided,
+    /// Sent with the answer to the report of this number. A worker has one
+    /// report in flight and drops late answers, so the next report tells.
+    Sent { seq: u64 },
+    /// Seen in a report.
+    Seen(TaskPhase),
+}
+
+/// A task on a machine, or on its way there.
+#[derive(Debug, Clone)]
+pub struct Placement {
+    pub phase: Phase,
+    /// None where nothing is known of the job any more.
+    pub spec: Option<Arc<JobSpec>>,
+    /// What it holds; a task of an unknown job is taken to hold the whole machine.
+    pub need: Resources,
+    pub since: Duration,
+    /// Set when the task was told to stop: the grace, and when.
+    pub stop: Option<Stop>,
+    /// The task is of a job that is over or unknown, or runs elsewhere.
+    pub foreign: bool,
+}
+
+#[derive(Debug, Clone, Copy)]
+pub struct Stop {
+    pub grace: Duration,
+    pub at: Duration,
+}
+
+impl Placement {
+    pub fn exited(&self) -> bool {
+        matches!(self.phase, Phase::Seen(phase) if phase.exited())
+    }
+
+    pub fn image(&self) -> Option<&str> {
+        self.spec.as_ref().map(|spec| &*spec.image)
+    }
+
+    pub fn stopping(&self) -> bool {
+        self.stop.is_some()
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// Rented, its worker has not been heard of yet.
+    Booting,
+    /// Its worker reports.
+    Up,
+    /// Its worker's lease is over; it may come back with a new session.
+    Lost,
+    /// To be returned.
+    Leaving,
+}
+
+/// One machine as the leader sees it.
+#[derive(Debug, Clone)]
+pub struct Machine {
+    pub id: MachineId,
+    pub machine_type: Arc<str>,
+    pub zone: Arc<str>,
+    pub spot: bool,
+    pub size: Resources,
+    pub addr: Option<SocketAddr>,
+    pub standing: Standing,
+    pub session: u64,
+    /// Newest report, and newest message of any kind, in this session.
+    pub report_seq: u64,
+    /// A session whose lease is over: reports from it came late.
+    pub dead_session: u64,
+    /// The worker has been seen to know this leader's token.
+    pub fenced: bool,
+    /// Being stored in the roster.
+    pub enrolling: bool,
+    /// Stored in the roster, so that a next leader knows of it.
+    pub enrolled: bool,
+    /// May hold tasks that a former leader started.
+    pub unresolved: bool,
+    pub answered_at: Option<Duration>,
+    pub heard_at: Option<Duration>,
+    pub first_seen: Duration,
+    pub idle_since: Duration,
+    pub notice_at: Option<Duration>,
+    pub tasks: BTreeMap<(TaskId, u64), Placement>,
+    /// Images in the machine's cache, as far as seen, with their last use.
+    pub images: HashMap<Arc<str>, Duration>,
+    /// Recent failures of tasks here, one entry a job.
+    pub failures: Vec<(JobId, Duration)>,
+    /// When the cloud's list last showed it.
+    pub listed_at: Option<Duration>,
+    pub listed_failed: bool,
+}
+
+impl Machine {
+    pub fn new(
+        id: MachineId,
+        machine_type: Arc<str>,
+        zone: Arc<str>,
+        spot: bool,
+        size: Resources,
+        now: Duration,
+    ) -> Self {
+        Self {
+            id,
+            machine_type,
+            zone,
+            spot,
+            size,
+            addr: None,
+            standing: Standing::Booting,
+            session: 0,
+            report_seq: 0,
+            dead_session: 0,
+            fenced: false,
+            enrolling: false,
+            enrolled: false,
+            unresolved: false,
+            answered_at: None,
+            heard_at: None,
+            first_seen: now,
+            idle_since: now,
+            notice_at: None,
+            tasks: BTreeMap::new(),
+            images: HashMap::new(),
+            failures: Vec::new(),
+            listed_at: None,
+            listed_failed: false,
+        }
+    }
+
+    /// What is left beside everything that holds its place here.
+    pub fn free(&self) -> Resources {
+        self.tasks
+            .values()
+            .filter(|p| !p.exited())
+            .fold(self.size, |room, p| room.minus(&p.need))
+    }
+
+    pub fn busy(&self) -> bool {
+        self.tasks.values().any(|p| !p.exited())
+    }
+
+    pub fn has_image(&self, image: &str) -> bool {
+        self.images.contains_key(image)
+    }
+
+    /// The image is being fetched for a task here.
+    pub fn fetches(&self, image: &str) -> bool {
+        self.tasks
+            .values()
+            .any(|p| !p.exited() && p.image() == Some(image))
+    }
+
+    pub fn fetching(&self) -> usize {
+        self.tasks
+            .values()
+            .filter(|p| {
+                !matches!(
+                    p.phase,
+                    Phase::Seen(TaskPhase::Running | TaskPhase::Exited(_))
+                ) && !p.image().is_some_and(|image| self.has_image(image))
+            })
+            .count()
+    }
+}
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,524 @@
+//! The service as a state machine: inputs go in, and what to send, write and
+//! answer comes out. Nothing here reads a clock or touches a socket.
+
+pub mod config;
+pub mod fleet;
+pub mod front;
+pub mod job;
+pub mod lead;
+pub mod leader;
+pub mod machine;
+pub mod mirror;
+pub mod queue;
+pub mod saves;
+pub mod sched;
+pub mod store;
+
+use std::{
+    collections::{HashMap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
+
+use config::Config;
+use fleet::{CloudReply, CloudRequest};
+use front::{Front, Question};
+use job::{FinalRecord, JobId, JobSpec, JobState};
+use lead::Lead;
+use leader::Leader;
+use machine::{Command, MachineId, WorkerReport};
+use mirror::{Mirror, Noticed};
+use store::{LIVE, StateReply, StateRequest};
+
+/// Time as a step sees it.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    /// Steady time since the process began.
+    pub now: Duration,
+    /// The time of day, in milliseconds.
+    pub wall_ms: u64,
+}
+
+/// Names a request that waits for its answer.
+pub type RequestId = u64;
+/// Names a call to another service.
+pub type CallId = u64;
+
+#[derive(Debug)]
+pub enum Input {
+    Submit {
+        request: RequestId,
+        spec: Arc<JobSpec>,
+    },
+    Status {
+        request: RequestId,
+        id: JobId,
+    },
+    Withdraw {
+        request: RequestId,
+        id: JobId,
+    },
+    Ready {
+        request: RequestId,
+    },
+    Report {
+        request: RequestId,
+        report: WorkerReport,
+    },
+    State {
+        call: CallId,
+        reply: StateReply,
+    },
+    Cloud {
+        call: CallId,
+        reply: CloudReply,
+    },
+    Tick,
+}
+
+#[derive(Debug)]
+pub enum Output {
+    Answer {
+        request: RequestId,
+        answer: Answer,
+    },
+    State {
+        call: CallId,
+        request: StateRequest,
+        timeout: Duration,
+    },
+    Cloud {
+        call: CallId,
+        request: CloudRequest,
+    },
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Answer {
+    Accepted(JobId),
+    /// Known already: its state now.
+    Known(JobId, JobState),
+    Status(JobId, JobState, u32, u32),
+    NotFound,
+    /// It can never run.
+    Impossible(String),
+    /// Undecidable now.
+    Later {
+        retry: Duration,
+    },
+    Ready(bool),
+    Commands {
+        token: u64,
+        commands: Vec<Command>,
+    },
+    /// Another node leads, or none is known.
+    Redirect(Option<String>),
+}
+
+/// Why a call was made.
+#[derive(Debug)]
+enum Purpose {
+    Load {
+        after: bool,
+    },
+    Watch,
+    Sync,
+    Grant,
+    Renew {
+        sent: Duration,
+    },
+    Claim {
+        lease: u64,
+        sent: Duration,
+    },
+    Accept {
+        request: RequestId,
+        spec: Arc<JobSpec>,
+        accepted_ms: u64,
+    },
+    Cancel {
+        request: RequestId,
+        id: JobId,
+    },
+    ReadFinal {
+        id: JobId,
+        waiting: Vec<(RequestId, Question)>,
+    },
+    TakeOver(lead::Loading),
+    Save(saves::Save),
+    StoreTypes,
+    Cloud(CloudRequest),
+}
+
+const STATE_TIMEOUT: Duration = Duration::from_millis(1500);
+const WATCH_WAIT: Duration = Duration::from_secs(10);
+const BACK_OFF: Duration = Duration::from_millis(300);
+/// Final states kept in memory, so that polls for them need no request.
+const FINALS_KEPT: usize = 4096;
+
+/// One controller node.
+pub struct Node {
+    config: Arc<Config>,
+    clock: Clock,
+    out: Vec<Output>,
+    next_call: CallId,
+    calls: HashMap<CallId, Purpose>,
+    mirror: Mirror,
+    loading: bool,
+    retry_load: Duration,
+    watching: bool,
+    retry_watch: Duration,
+    front: Front,
+    finals: HashMap<JobId, FinalRecord>,
+    finals_order: VecDeque<JobId>,
+    lead: Lead,
+    leader: Option<Leader>,
+    types_call: bool,
+    retry_types: Duration,
+    saves: saves::Saves,
+}
+
+impl Node {
+    pub fn new(config: Config) -> Self {
+        let config = Arc::new(config);
+        Self {
+            saves: saves::Saves::new(&config),
+            config,
+            clock: Clock {
+                now: Duration::ZERO,
+                wall_ms: 0,
+            },
+            out: Vec::new(),
+            next_call: 0,
+            calls: HashMap::new(),
+            mirror: Mirror::default(),
+            loading: false,
+            retry_load: Duration::ZERO,
+            watching: false,
+            retry_watch: Duration::ZERO,
+            front: Front::default(),
+            finals: HashMap::new(),
+            finals_order: VecDeque::new(),
+            lead: Lead::default(),
+            leader: None,
+            types_call: false,
+            retry_types: Duration::ZERO,
+        }
+    }
+
+    /// Takes one input and returns everything that follows from it.
+    pub fn step(&mut self, clock: Clock, input: Input) -> Vec<Output> {
+        self.clock = clock;
+        match input {
+            Input::Submit { request, spec } => self.submit(request, spec),
+            Input::Status { request, id } => self.ask(request, id, Question::Status),
+            Input::Withdraw { request, id } => self.ask(request, id, Question::Withdraw),
+            Input::Ready { request } => {
+                let ready = self.mirror.loaded && self.mirror.types.is_some();
+                self.answer(request, Answer::Ready(ready));
+            }
+            Input::Report { request, report } => self.report(request, &report),
+            Input::State { call, reply } => {
+                if let Some(purpose) = self.calls.remove(&call) {
+                    self.state_reply(purpose, reply);
+                }
+            }
+            Input::Cloud { call, reply } => {
+                if let Some(Purpose::Cloud(request)) = self.calls.remove(&call) {
+                    self.cloud_reply(&request, reply);
+                }
+            }
+            Input::Tick => {}
+        }
+        self.pump();
+        std::mem::take(&mut self.out)
+    }
+
+    fn now(&self) -> Duration {
+        self.clock.now
+    }
+
+    fn answer(&mut self, request: RequestId, answer: Answer) {
+        self.out.push(Output::Answer { request, answer });
+    }
+
+    fn call(&mut self, purpose: Purpose, request: StateRequest) {
+        let timeout = match &request {
+            StateRequest::Watch { wait, .. } => *wait + STATE_TIMEOUT,
+            _ => STATE_TIMEOUT,
+        };
+        self.next_call += 1;
+        self.calls.insert(self.next_call, purpose);
+        self.out.push(Output::State {
+            call: self.next_call,
+            request,
+            timeout,
+        });
+    }
+
+    fn call_cloud(&mut self, request: CloudRequest) {
+        self.next_call += 1;
+        self.calls
+            .insert(self.next_call, Purpose::Cloud(request.clone()));
+        self.out.push(Output::Cloud {
+            call: self.next_call,
+            request,
+        });
+    }
+
+    /// Whatever is due now.
+    fn pump(&mut self) {
+        self.pump_mirror();
+        self.pump_types();
+        self.pump_lead();
+        self.pump_polls();
+        let now = self.now();
+        if !self.leads() {
+            return;
+        }
+        let Some(leader) = &mut self.leader else {
+            return;
+        };
+        leader.tick(now);
+        if leader.queue.dirty && now >= leader.next_pass {
+            leader.pass(now);
+        }
+        if let Some(request) = leader.cloud_work(now) {
+            self.call_cloud(request);
+        }
+        self.pump_saves();
+    }
+
+    fn pump_mirror(&mut self) {
+        let now = self.now();
+        if !self.mirror.loaded {
+            if !self.loading && now >= self.retry_load {
+                self.loading = true;
+                self.mirror = Mirror::default();
+                self.call(
+                    Purpose::Load { after: false },
+                    StateRequest::List {
+                        prefix: LIVE,
+                        after: None,
+                    },
+                );
+            }
+        } else if !self.watching && now >= self.retry_watch {
+            self.watching = true;
+            let after = self.mirror.cursor;
+            self.call(
+                Purpose::Watch,
+                StateRequest::Watch {
+                    prefix: LIVE,
+                    after,
+                    wait: WATCH_WAIT,
+                },
+            );
+        }
+    }
+
+    /// Machine types are stored, so that a restart in a cloud outage can judge jobs.
+    fn pump_types(&mut self) {
+        let now = self.now();
+        if self.mirror.loaded
+            && self.mirror.types.is_none()
+            && !self.types_call
+            && now >= self.retry_types
+        {
+            self.types_call = true;
+            self.call_cloud(CloudRequest::Types);
+        }
+    }
+
+    fn cloud_reply(&mut self, request: &CloudRequest, reply: CloudReply) {
+        let now = self.now();
+        if let CloudRequest::Types = request {
+            self.types_call = false;
+            self.retry_types = now + Duration::from_secs(2);
+            if let (CloudReply::Types(types), None) = (&reply, &self.mirror.types) {
+                let changes = vec![store::put(store::TYPES, types)];
+                let conditions = vec![store::when(store::TYPES, 0)];
+                self.call(
+                    Purpose::StoreTypes,
+                    StateRequest::Txn {
+                        conditions,
+                        changes,
+                    },
+                );
+            }
+        }
+        if let Some(leader) = &mut self.leader
+            && let Some(next) = leader.cloud_reply(request, reply, now)
+        {
+            self.call_cloud(next);
+        }
+    }
+
+    fn state_reply(&mut self, purpose: Purpose, reply: StateReply) {
+        let now = self.now();
+        match purpose {
+            Purpose::Load { after } => self.loaded(after, reply),
+            Purpose::Watch => {
+                self.watching = false;
+                if !self.take_events(reply) {
+                    self.retry_watch = now + BACK_OFF;
+                }
+            }
+            Purpose::Sync => {
+                let proven = self.take_events(reply);
+                self.synced(proven);
+            }
+            Purpose::Grant => self.granted(reply),
+            Purpose::Renew { sent } => self.renewed(sent, reply),
+            Purpose::Claim { lease, sent } => self.claimed(lease, sent, reply),
+            Purpose::Accept {
+                request,
+                spec,
+                accepted_ms,
+            } => self.accepted(request, spec, accepted_ms, reply),
+            Purpose::Cancel { request, id } => self.cancelled(request, id, reply),
+            Purpose::ReadFinal { id, waiting } => self.final_read(id, waiting, reply),
+            Purpose::TakeOver(loading) => self.take_over_reply(loading, reply),
+            Purpose::Save(save) => self.saved(save, reply),
+            Purpose::StoreTypes => {}
+            Purpose::Cloud(_) => {}
+        }
+    }
+
+    fn loaded(&mut self, after: bool, reply: StateReply) {
+        let StateReply::Entries {
+            entries,
+            more,
+            revision,
+        } = reply
+        else {
+            self.loading = false;
+            self.retry_load = self.now() + BACK_OFF;
+            return;
+        };
+        // Pages are read one after another; the watch from the first page's
+        // revision on brings whatever changed meanwhile.
+        if !after {
+            self.mirror.cursor = revision;
+        }
+        let last = entries.last().map(|e| e.key.clone());
+        self.mirror.load(entries);
+        if let (true, Some(last)) = (more, last) {
+            self.call(
+                Purpose::Load { after: true },
+                StateRequest::List {
+                    prefix: LIVE,
+                    after: Some(last),
+                },
+            );
+        } else {
+            self.loading = false;
+            self.mirror.loaded = true;
+        }
+    }
+
+    /// Takes in the events of a watch; says whether the copy is proven.
+    fn take_events(&mut self, reply: StateReply) -> bool {
+        match reply {
+            StateReply::Events { events, revision } => {
+                for noticed in self.mirror.advance(&events, revision) {
+                    self.notice(noticed);
+                }
+                true
+            }
+            StateReply::TooOld => {
+                // Too much was missed: everything is read again.
+                self.mirror.loaded = false;
+                self.drop_leader("fell behind the state service");
+                false
+            }
+            _ => false,
+        }
+    }
+
+    fn notice(&mut self, noticed: Noticed) {
+        let now = self.now();
+        match noticed {
+            Noticed::JobAdded(id) => self.job_added(&id),
+            Noticed::JobRemoved(id) => {
+                if let Some(leader) = &mut self.leader {
+                    leader.remove_job(&id, now);
+                }
+            }
+            Noticed::Leader => self.leader_changed(),
+            Noticed::Types => {
+                if let (Some(leader), Some(types)) = (&mut self.leader, &self.mirror.types) {
+                    leader.types = types.clone();
+                }
+            }
+        }
+    }
+
+    fn job_added(&mut self, id: &JobId) {
+        if let (Some(leader), Some(job)) = (&mut self.leader, self.mirror.jobs.get(id)) {
+            leader.add_job(id, job, job::TaskSet::default());
+        }
+    }
+
+    fn keep_final(&mut self, id: JobId, record: FinalRecord) {
+        if self.finals.insert(id.clone(), record).is_none() {
+            self.finals_order.push_back(id);
+            if self.finals_order.len() > FINALS_KEPT
+                && let Some(oldest) = self.finals_order.pop_front()
+            {
+                self.finals.remove(&oldest);
+            }
+        }
+    }
+
+    fn report(&mut self, request: RequestId, report: &WorkerReport) {
+        let now = self.now();
+        if !self.leads() {
+            let node = self
+                .mirror
+                .leader
+                .as_ref()
+                .map(|(record, _)| record.node.clone())
+                .filter(|node| *node != self.config.node);
+            self.answer(request, Answer::Redirect(node));
+            return;
+        }
+        let Some(leader) = &mut self.leader else {
+            // Taking over: the lease is kept alive, commands come later. The
+            // report is not counted as heard.
+            let token = self.lead.token();
+            let answer = match token {
+                Some(token) if report.token <= token => Answer::Commands {
+                    token,
+                    commands: Vec::new(),
+                },
+                _ => Answer::Redirect(None),
+            };
+            self.answer(request, answer);
+            return;
+        };
+        if report.token > leader.token {
+            // Somebody with a later claim has commanded it.
+            self.drop_leader("a worker knows a higher token");
+            self.answer(request, Answer::Redirect(None));
+            return;
+        }
+        let token = leader.token;
+        if leader.queue.dirty && now >= leader.next_pass {
+            leader.pass(now);
+        }
+        let answer = match leader.report(report, now) {
+            Some(commands) => Answer::Commands { token, commands },
+            None => Answer::Redirect(None),
+        };
+        self.answer(request, answer);
+    }
+
+    /// Names of machines in the leader's picture, for tests and logs.
+    pub fn machines(&self) -> Vec<MachineId> {
+        self.leader
+            .as_ref()
+            .map(|l| l.machines.keys().cloned().collect())
+            .unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/src/core/queue.rs
@@ -0,0 +1,62 @@
+//! The heap of waiting jobs and the list of those that could not be placed.
+//!
+//! A job stands for all of its waiting tasks, which are alike.
+
+use std::{
+    cmp::Reverse,
+    collections::{BinaryHeap, HashMap, HashSet},
+};
+
+use super::{
+    job::{JobId, Priority},
+    leader::Job,
+};
+
+/// Highest priority first, then the one accepted first.
+type Rank = (Priority, Reverse<(u64, u64)>, Reverse<JobId>);
+
+#[derive(Debug, Default)]
+pub struct Queue {
+    heap: BinaryHeap<Rank>,
+    queued: HashSet<JobId>,
+    parked: HashSet<JobId>,
+    /// Something has changed since the last pass.
+    pub dirty: bool,
+}
+
+impl Queue {
+    pub fn push(&mut self, id: &JobId, job: &Job) {
+        self.parked.remove(id);
+        if job.waiting_count() > 0 && self.queued.insert(id.clone()) {
+            let order = (job.accepted_ms, job.version);
+            self.heap
+                .push((job.spec.priority, Reverse(order), Reverse(id.clone())));
+        }
+    }
+
+    pub fn pop(&mut self) -> Option<JobId> {
+        while let Some((_, _, Reverse(id))) = self.heap.pop() {
+            if self.queued.remove(&id) {
+                return Some(id);
+            }
+        }
+        None
+    }
+
+    pub fn park(&mut self, id: JobId) {
+        self.parked.insert(id);
+    }
+
+    pub fn remove(&mut self, id: &JobId) {
+        self.queued.remove(id);
+        self.parked.remove(id);
+    }
+
+    pub fn unpark(&mut self, jobs: &HashMap<JobId, Job>) {
+        for id in std::mem::take(&mut self.parked) {
+            if let Some(job) = jobs.get(&id) {
+                self.push(&id, job);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/core/saves.rs
@@ -0,0 +1,281 @@
+//! What the leader writes: the roster, results, and ends of jobs. Every write
+//! depends on its claim, so one that is applied late changes nothing.
+
+use std::time::Duration;
+
+use tracing::info;
+
+use super::{
+    BACK_OFF, Node, Purpose,
+    config::Config,
+    job::{FinalRecord, JobId, JobState, TaskSet},
+    machine::{MachineId, RosterRecord},
+    store::{
+        Change, LEADER, StateReply, StateRequest, delete, final_key, job_key, machine_key,
+        progress_key, put, when,
+    },
+};
+
+#[derive(Debug)]
+pub enum Save {
+    Enroll {
+        claim: u64,
+        machines: Vec<MachineId>,
+    },
+    Strike {
+        claim: u64,
+        machines: Vec<MachineId>,
+    },
+    Progress {
+        claim: u64,
+        id: JobId,
+        set: TaskSet,
+    },
+    Finish {
+        claim: u64,
+        id: JobId,
+        record: FinalRecord,
+        keys: Vec<String>,
+    },
+    Collect {
+        claim: u64,
+        keys: Vec<String>,
+    },
+}
+
+/// How many writes are out, and what the budget allows.
+#[derive(Debug)]
+pub struct Saves {
+    rate: f64,
+    allowance: f64,
+    refilled: Duration,
+    in_flight: u32,
+    retry: Duration,
+}
+
+const IN_FLIGHT: u32 = 6;
+/// Results are stored together with those that follow within this time.
+const GATHER: Duration = Duration::from_millis(1500);
+
+impl Saves {
+    pub fn new(config: &Config) -> Self {
+        Self {
+            rate: config.leader_writes,
+            allowance: config.leader_writes,
+            refilled: Duration::ZERO,
+            in_flight: 0,
+            retry: Duration::ZERO,
+        }
+    }
+
+    pub fn reset(&mut self) {
+        self.in_flight = 0;
+    }
+
+    fn refill(&mut self, now: Duration) {
+        let passed = now.saturating_sub(self.refilled).as_secs_f64();
+        self.refilled = now;
+        self.allowance = (self.allowance + passed * self.rate).min(self.rate);
+    }
+}
+
+impl Node {
+    pub(super) fn pump_saves(&mut self) {
+        let now = self.now();
+        self.saves.refill(now);
+        while self.saves.in_flight < IN_FLIGHT && now >= self.saves.retry {
+            // One change has to be affordable; a larger transaction borrows.
+            if self.saves.allowance < 1.0 {
+                return;
+            }
+            let Some((save, mut conditions, changes)) = self.next_save(now) else {
+                return;
+            };
+            let Some(claim) = self.claim() else { return };
+            conditions.push(when(LEADER, claim));
+            self.saves.allowance -= changes.len() as f64;
+            self.saves.in_flight += 1;
+            self.call(
+                Purpose::Save(save),
+                StateRequest::Txn {
+                    conditions,
+                    changes,
+                },
+            );
+        }
+    }
+
+    fn next_save(
+        &mut self,
+        now: Duration,
+    ) -> Option<(Save, Vec<super::store::Condition>, Vec<Change>)> {
+        let most = self.config.txn_ops;
+        let leader = self.leader.as_mut()?;
+        let claim = leader.claim;
+
+        let new: Vec<MachineId> = leader
+            .machines
+            .values()
+            .filter(|m| !m.enrolled && !m.enrolling && m.heard_at.is_some())
+            .map(|m| m.id.clone())
+            .take(most)
+            .collect();
+        if !new.is_empty() {
+            let mut changes = Vec::new();
+            for id in &new {
+                let machine = leader.machines.get_mut(id)?;
+                machine.enrolling = true;
+                let record = RosterRecord {
+                    machine_type: machine.machine_type.clone(),
+                    zone: machine.zone.clone(),
+                    spot: machine.spot,
+                };
+                changes.push(put(machine_key(id), &record));
+            }
+            let machines = new;
+            return Some((Save::Enroll { claim, machines }, Vec::new(), changes));
+        }
+
+        let complete = leader
+            .jobs
+            .iter_mut()
+            .filter(|(_, job)| job.complete() && !job.saving)
+            .min_by_key(|(id, job)| (job.unsaved_since, (*id).clone()));
+        if let Some((id, job)) = complete {
+            job.saving = true;
+            let record = FinalRecord {
+                state: JobState::Done,
+                done: job.done_count,
+            };
+            let mut changes = vec![delete(job_key(id)), put(final_key(id), &record)];
+            let mut keys: Vec<String> = job
+                .saved
+                .chunks()
+                .into_iter()
+                .map(|chunk| progress_key(id, chunk))
+                .collect();
+            // What does not fit into this transaction goes with a later one.
+            let rest = keys.split_off(keys.len().min(most - 2));
+            changes.extend(keys.into_iter().map(delete));
+            let conditions = vec![when(job_key(id), job.version)];
+            let id = id.clone();
+            let keys = rest;
+            return Some((
+                Save::Finish {
+                    claim,
+                    id,
+                    record,
+                    keys,
+                },
+                conditions,
+                changes,
+            ));
+        }
+
+        let unsaved = leader
+            .jobs
+            .iter_mut()
+            .filter(|(_, job)| !job.saving && !job.complete())
+            .filter(|(_, job)| job.unsaved_since.is_some_and(|at| now >= at + GATHER))
+            .min_by_key(|(id, job)| (job.unsaved_since, (*id).clone()));
+        if let Some((id, job)) = unsaved {
+            job.saving = true;
+            job.unsaved_since = None;
+            let set = job.done.clone();
+            let changes = set
+                .chunks_beyond(&job.saved)
+                .into_iter()
+                .take(most)
+                .map(|chunk| put(progress_key(id, chunk), &set.encode_chunk(chunk)))
+                .collect();
+            let conditions = vec![when(job_key(id), job.version)];
+            let id = id.clone();
+            return Some((Save::Progress { claim, id, set }, conditions, changes));
+        }
+
+        if !leader.departed.is_empty() {
+            let count = leader.departed.len().min(most);
+            let machines: Vec<MachineId> = leader.departed.drain(..count).collect();
+            let changes = machines.iter().map(|id| delete(machine_key(id))).collect();
+            return Some((Save::Strike { claim, machines }, Vec::new(), changes));
+        }
+        // Removing what is left over waits until there is plenty of room.
+        if !leader.garbage.is_empty() && self.saves.allowance > self.saves.rate / 2.0 {
+            let count = leader.garbage.len().min(most / 4);
+            let keys: Vec<String> = leader.garbage.drain(..count).collect();
+            let changes = keys.iter().cloned().map(delete).collect();
+            return Some((Save::Collect { claim, keys }, Vec::new(), changes));
+        }
+        None
+    }
+
+    pub(super) fn saved(&mut self, save: Save, reply: StateReply) {
+        let now = self.now();
+        let committed = matches!(reply, StateReply::Committed { .. });
+        if !matches!(reply, StateReply::Committed { .. } | StateReply::Conflict) {
+            self.saves.retry = now + BACK_OFF;
+        }
+        if let (Save::Finish { id, record, .. }, StateReply::Committed { revision }) =
+            (&save, &reply)
+        {
+            self.keep_final(id.clone(), *record);
+            if *revision > self.mirror.cursor {
+                self.mirror.jobs.remove(id);
+            }
+        }
+        let claim = match &save {
+            Save::Enroll { claim, .. }
+            | Save::Strike { claim, .. }
+            | Save::Progress { claim, .. }
+            | Save::Finish { claim, .. }
+            | Save::Collect { claim, .. } => *claim,
+        };
+        let Some(leader) = self.leader.as_mut().filter(|l| l.claim == claim) else {
+            return;
+        };
+        self.saves.in_flight = self.saves.in_flight.saturating_sub(1);
+        match save {
+            Save::Enroll { machines, .. } => {
+                for id in machines {
+                    if let Some(machine) = leader.machines.get_mut(&id) {
+                        machine.enrolling = false;
+                        machine.enrolled |= committed;
+                    } else if committed {
+                        leader.departed.push(id);
+                    }
+                }
+                leader.requeue();
+            }
+            Save::Strike { machines, .. } => {
+                if !committed {
+                    leader.departed.extend(machines);
+                }
+            }
+            Save::Progress { id, set, .. } => {
+                if let Some(job) = leader.jobs.get_mut(&id) {
+                    job.saving = false;
+                    if committed {
+                        job.saved = set;
+                    } else {
+                        job.unsaved_since.get_or_insert(now);
+                    }
+                }
+            }
+            Save::Finish { id, keys, .. } => {
+                if let Some(job) = leader.jobs.get_mut(&id) {
+                    job.saving = false;
+                }
+                if committed {
+                    info!(job = %id, "job done");
+                    leader.remove_job(&id, now);
+                    leader.garbage.extend(keys);
+                }
+            }
+            Save::Collect { keys, .. } => {
+                if !committed {
+                    leader.garbage.extend(keys);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/core/sched.rs
@@ -0,0 +1,677 @@
+//! Placement: fits without victims first, then preemption and nominations.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, HashMap, HashSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use tracing::info;
+
+use super::{
+    job::{JobId, JobSpec, Kind, Priority, Resources, TaskId},
+    leader::{Leader, Slot},
+    machine::{Machine, MachineId, Phase, Standing},
+};
+
+/// The least time between two passes.
+pub const PASS_EVERY: Duration = Duration::from_millis(60);
+
+/// A machine as one pass sees it.
+struct Room {
+    id: MachineId,
+    free: Resources,
+    /// Held for parked tasks, by job.
+    held: Vec<(Priority, JobId, Resources)>,
+    /// Set aside as victims in this pass.
+    victims: HashSet<(TaskId, u64)>,
+}
+
+struct View {
+    rooms: Vec<Room>,
+    /// What each team's tasks take, those that silent machines may hold included.
+    usage: HashMap<Arc<str>, Resources>,
+    /// The part of it that is stopping.
+    leaving: HashMap<Arc<str>, Resources>,
+    /// Tasks of the job at hand by zone, and the replicas by machine.
+    zones: BTreeMap<Arc<str>, u32>,
+}
+
+/// Victims on one machine.
+struct Plan {
+    room: usize,
+    victims: Vec<(TaskId, u64)>,
+    breaches: usize,
+    highest: Option<Priority>,
+    freed: Resources,
+}
+
+impl Leader {
+    pub fn usable(&self, machine: &Machine, now: Duration) -> bool {
+        machine.standing == Standing::Up
+            && machine.fenced
+            && machine.enrolled
+            && machine.notice_at.is_none()
+            && machine
+                .heard_at
+                .is_some_and(|at| now < at + self.config.report * 2 + Duration::from_millis(700))
+    }
+
+    /// Places what fits, makes room for what does not, and parks the rest.
+    pub fn pass(&mut self, now: Duration) {
+        self.queue.dirty = false;
+        self.next_pass = now + PASS_EVERY;
+        let mut view = self.view(now);
+        while let Some(id) = self.queue.pop() {
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
+            if job.waiting_count() == 0 {
+                continue;
+            }
+            if job.retry_at > now || self.held(job) {
+                self.queue.park(id);
+                continue;
+            }
+            let spec = job.spec.clone();
+            view.zones = self.zones(&id);
+            let all = match spec.kind {
+                Kind::Gang => self.place_gang(&mut view, &id, &spec, now),
+                _ => self.place_tasks(&mut view, &id, &spec, now),
+            };
+            if !all {
+                self.queue.park(id);
+            }
+        }
+    }
+
+    fn view(&self, now: Duration) -> View {
+        let mut usage: HashMap<Arc<str>, Resources> = HashMap::new();
+        let mut leaving: HashMap<Arc<str>, Resources> = HashMap::new();
+        for machine in self.machines.values() {
+            for p in machine.tasks.values().filter(|p| !p.exited()) {
+                match &p.spec {
+                    Some(spec) => {
+                        add(&mut usage, &spec.team, &p.need);
+                        if p.stopping() {
+                            add(&mut leaving, &spec.team, &p.need);
+                        }
+                    }
+                    // Whose it is nobody knows any more: it counts for each team.
+                    None => {
+                        for team in self.config.teams.keys() {
+                            add(&mut usage, team, &p.need);
+                        }
+                    }
+                }
+            }
+        }
+        if self.unresolved() {
+            for job in self.jobs.values().filter(|job| job.version < self.claim) {
+                let hidden = job.spec.need;
+                let count = f64::from(job.waiting_count());
+                let sum = Resources::default().plus_times(&hidden, count);
+                add(&mut usage, &job.spec.team, &sum);
+            }
+        }
+        let mut rooms: Vec<Room> = self
+            .machines
+            .values()
+            .filter(|m| self.usable(m, now))
+            .map(|m| Room {
+                id: m.id.clone(),
+                free: m.free(),
+                held: Vec::new(),
+                victims: HashSet::new(),
+            })
+            .collect();
+        for (id, job) in &self.jobs {
+            for machine in &job.nominations {
+                if let Some(room) = rooms.iter_mut().find(|r| r.id == *machine) {
+                    room.held
+                        .push((job.spec.priority, id.clone(), job.spec.need));
+                }
+            }
+        }
+        View {
+            rooms,
+            usage,
+            leaving,
+            zones: BTreeMap::new(),
+        }
+    }
+
+    /// Zones that tasks of the job are in, the stopping ones included.
+    fn zones(&self, id: &JobId) -> BTreeMap<Arc<str>, u32> {
+        let mut zones = BTreeMap::new();
+        let spec = &self.jobs[id].spec;
+        if spec.one_zone || spec.spread || spec.kind == Kind::Service {
+            for machine in self.machines.values() {
+                for ((task, _), p) in &machine.tasks {
+                    if task.job == *id && !p.exited() {
+                        *zones.entry(machine.zone.clone()).or_insert(0) += 1;
+                    }
+                }
+            }
+        }
+        zones
+    }
+
+    /// Places an array's or a service's tasks one by one.
+    fn place_tasks(
+        &mut self,
+        view: &mut View,
+        id: &JobId,
+        spec: &Arc<JobSpec>,
+        now: Duration,
+    ) -> bool {
+        while let Some(index) = self.jobs.get_mut(id).and_then(|j| j.next_waiting()) {
+            if self.over_limit(view, spec, 1) {
+                return false;
+            }
+            let task = TaskId {
+                job: id.clone(),
+                index,
+            };
+            if let Some(room) = self.best_fit(view, spec, now) {
+                let machine = view.rooms[room].id.clone();
+                let attempt = self.next_attempt();
+                self.put(view, room, &machine, task, attempt, now);
+                continue;
+            }
+            return self.make_room(view, id, spec, now);
+        }
+        true
+    }
+
+    fn put(
+        &mut self,
+        view: &mut View,
+        room: usize,
+        machine: &MachineId,
+        task: TaskId,
+        attempt: u64,
+        now: Duration,
+    ) {
+        let id = task.job.clone();
+        self.place(machine, task, attempt, now);
+        let spec = &self.jobs[&id].spec;
+        view.rooms[room].free = view.rooms[room].free.minus(&spec.need);
+        add(&mut view.usage, &spec.team, &spec.need);
+        let zone = self.machines[machine].zone.clone();
+        *view.zones.entry(zone).or_insert(0) += 1;
+        self.refresh_held(view, &id);
+    }
+
+    /// The nominations of one job have changed.
+    fn refresh_held(&self, view: &mut View, id: &JobId) {
+        let job = &self.jobs[id];
+        for room in &mut view.rooms {
+            room.held.retain(|(_, held, _)| held != id);
+            let count = job.nominations.iter().filter(|m| **m == room.id).count();
+            for _ in 0..count {
+                room.held
+                    .push((job.spec.priority, id.clone(), job.spec.need));
+            }
+        }
+    }
+
+    fn over_limit(&self, view: &View, spec: &JobSpec, tasks: u32) -> bool {
+        let Some(team) = self.config.teams.get(&spec.team) else {
+            return true;
+        };
+        let used = view.usage.get(&spec.team).copied().unwrap_or_default();
+        let sum = used.plus_times(&spec.need, f64::from(tasks));
+        let over = |limit: f64, value: f64| limit > 0.0 && value > limit + 1e-6;
+        over(team.cpus_max, sum.cpus) || over(team.gpus_max, sum.gpus)
+    }
+
+    /// Whether the job may have a task there, room aside.
+    fn allowed(&self, view: &View, room: &Room, spec: &JobSpec) -> bool {
+        let machine = &self.machines[&room.id];
+        spec.allows_type(&machine.machine_type)
+            && spec.allows_place(&machine.zone, machine.spot)
+            && zone_allowed(&view.zones, &machine.zone, spec)
+    }
+
+    /// Both checks: with the nominated tasks of equal or higher priority taken
+    /// as running, and again without them.
+    fn fits(&self, view: &View, room: &Room, spec: &JobSpec, free: &Resources) -> bool {
+        let mut left = *free;
+        for (priority, job, need) in &room.held {
+            if *priority >= spec.priority && *job != spec.id {
+                left = left.minus(need);
+            }
+        }
+        spec.need.fits_in(&left) && spec.need.fits_in(free) && self.allowed(view, room, spec)
+    }
+
+    fn best_fit(&self, view: &View, spec: &JobSpec, now: Duration) -> Option<usize> {
+        let job = self.jobs.get(&spec.id)?;
+        let mut best: Option<(f64, usize)> = None;
+        for (i, room) in view.rooms.iter().enumerate() {
+            if !self.fits(view, room, spec, &room.free) {
+                continue;
+            }
+            let machine = &self.machines[&room.id];
+            let mut cost = self.fetch_time(machine, spec);
+            let failures = machine
+                .failures
+                .iter()
+                .filter(|(_, at)| now < *at + Duration::from_secs(600))
+                .count();
+            cost += 20.0 * failures as f64;
+            if job.failed_on.contains(&machine.id) {
+                cost += 200.0;
+            }
+            // Replicas of a service are better off apart.
+            if spec.kind == Kind::Service {
+                let beside = machine
+                    .tasks
+                    .iter()
+                    .filter(|((task, _), p)| task.job == spec.id && !p.exited())
+                    .count();
+                let in_zone = view.zones.get(&machine.zone).copied().unwrap_or(0);
+                cost += 4.0 * beside as f64 + f64::from(in_zone);
+            }
+            // What may be taken back is left to those who may use it.
+            if spec.spot && !machine.spot {
+                cost += 1.0;
+            }
+            // Full machines first, so that empty ones can be returned.
+            cost += room.free.cpus / machine.size.cpus.max(1e-9);
+            if best.is_none_or(|(c, _)| cost < c) {
+                best = Some((cost, i));
+            }
+        }
+        best.map(|(_, i)| i)
+    }
+
+    /// About how long the image takes to arrive there.
+    fn fetch_time(&self, machine: &Machine, spec: &JobSpec) -> f64 {
+        if machine.has_image(&spec.image) {
+            return 0.0;
+        }
+        let rate = self
+            .types
+            .iter()
+            .find(|t| t.name == machine.machine_type)
+            .map_or(0.1, |t| t.fetch_gb_per_s.max(0.01));
+        let alone = spec.image_gb / rate;
+        if machine.fetches(&spec.image) {
+            return alone * 0.5;
+        }
+        alone * (1.0 + machine.fetching() as f64 * 0.5)
+    }
+
+    /// Preemption for the waiting tasks of a job that hold no nomination yet.
+    fn make_room(
+        &mut self,
+        view: &mut View,
+        id: &JobId,
+        spec: &Arc<JobSpec>,
+        now: Duration,
+    ) -> bool {
+        self.drop_spent(view, id);
+        let waiting = self.jobs[id].waiting_count() as usize;
+        while self.jobs[id].nominations.len() < waiting {
+            let nominated = self.jobs[id].nominations.len() as u32;
+            if self.over_limit(view, spec, nominated + 1) {
+                break;
+            }
+            let Some(plan) = self.best_plan(view, spec) else {
+                break;
+            };
+            self.nominate(view, id, spec, plan, now);
+        }
+        false
+    }
+
+    /// A task whose nominated machine still has victims stopping does not
+    /// preempt again; one whose victims are gone, and which still did not fit, may.
+    fn drop_spent(&mut self, view: &mut View, id: &JobId) {
+        let machines = &self.machines;
+        let job = self.jobs.get_mut(id).expect("job at hand");
+        let before = job.nominations.len();
+        job.nominations.retain(|m| {
+            machines
+                .get(m)
+                .is_some_and(|m| m.tasks.values().any(|p| p.stopping() && !p.exited()))
+        });
+        if job.nominations.len() != before {
+            self.refresh_held(view, id);
+        }
+    }
+
+    fn best_plan(&self, view: &View, spec: &JobSpec) -> Option<Plan> {
+        (0..view.rooms.len())
+            .filter_map(|i| self.plan(view, i, spec))
+            .min_by(|a, b| {
+                (a.breaches, a.highest, a.victims.len(), a.room).cmp(&(
+                    b.breaches,
+                    b.highest,
+                    b.victims.len(),
+                    b.room,
+                ))
+            })
+    }
+
+    /// Sets aside every task that may make room, then restores those that can stay.
+    fn plan(&self, view: &View, index: usize, spec: &JobSpec) -> Option<Plan> {
+        let room = &view.rooms[index];
+        if !self.allowed(view, room, spec) {
+            return None;
+        }
+        let machine = &self.machines[&room.id];
+        let mut free = room.free;
+        // Own nominations here are other tasks of the same job.
+        for (_, job, need) in &room.held {
+            if *job == spec.id {
+                free = free.minus(need);
+            }
+        }
+        let mut candidates = Vec::new();
+        for (key, p) in &machine.tasks {
+            if p.exited() || room.victims.contains(key) {
+                continue;
+            }
+            if p.stopping() {
+                free = free.plus(&p.need);
+            } else if let Some(victim) = &p.spec
+                && victim.id != spec.id
+                && self.may_stop(view, spec, victim)
+            {
+                candidates.push((key.clone(), victim.clone(), p.since));
+                free = free.plus(&p.need);
+            }
+        }
+        if !self.fits(view, room, spec, &free) {
+            return None;
+        }
+        // Budget-breaking ones are restored first, then by priority, then the oldest.
+        let mut stopping: HashMap<JobId, u32> = HashMap::new();
+        let mut budgeted: Vec<_> = candidates
+            .into_iter()
+            .map(|(key, victim, since)| {
+                let breaks = self.breaks_budget(&victim, &mut stopping);
+                (breaks, victim.priority, Reverse(since), key, victim)
+            })
+            .collect();
+        budgeted.sort_by(|a, b| (b.0, b.1, b.2, &a.3).cmp(&(a.0, a.1, a.2, &b.3)));
+        let mut plan = Plan {
+            room: index,
+            victims: Vec::new(),
+            breaches: 0,
+            highest: None,
+            freed: Resources::default(),
+        };
+        for (breaks, priority, _, key, victim) in budgeted {
+            let without = free.minus(&victim.need);
+            if self.fits(view, room, spec, &without) {
+                free = without;
+                continue;
+            }
+            plan.breaches += usize::from(breaks);
+            plan.highest = plan.highest.max(Some(priority));
+            plan.freed = plan.freed.plus(&victim.need);
+            plan.victims.push(key);
+        }
+        Some(plan)
+    }
+
+    /// Lower priority, or work that another team runs beyond its guarantee where
+    /// this job is within its team's.
+    fn may_stop(&self, view: &View, spec: &JobSpec, victim: &JobSpec) -> bool {
+        if victim.priority < spec.priority {
+            return true;
+        }
+        // Reclaiming from a higher priority would only be preempted back.
+        if victim.priority > spec.priority || victim.team == spec.team {
+            return false;
+        }
+        let within = |team: &Arc<str>, extra: &Resources, times: f64| {
+            let Some(share) = self.config.teams.get(team) else {
+                return false;
+            };
+            let of =
+                |map: &HashMap<Arc<str>, Resources>| map.get(team).copied().unwrap_or_default();
+            let sum = of(&view.usage)
+                .minus(&of(&view.leaving))
+                .plus_times(extra, times);
+            sum.cpus <= share.cpus + 1e-6 && sum.gpus <= share.gpus + 1e-6
+        };
+        within(&spec.team, &spec.need, 1.0) && !within(&victim.team, &Resources::default(), 0.0)
+    }
+
+    /// More of a service's tasks would be stopping than its disruption budget allows.
+    fn breaks_budget(&self, victim: &JobSpec, stopping: &mut HashMap<JobId, u32>) -> bool {
+        if victim.kind != Kind::Service {
+            return false;
+        }
+        let count = stopping.entry(victim.id.clone()).or_insert_with(|| {
+            self.machines
+                .values()
+                .flat_map(|m| &m.tasks)
+                .filter(|((task, _), p)| task.job == victim.id && p.stopping() && !p.exited())
+                .count() as u32
+        });
+        *count += 1;
+        *count > self.config.options.disruption_budget
+    }
+
+    fn nominate(&mut self, view: &mut View, id: &JobId, spec: &JobSpec, plan: Plan, now: Duration) {
+        let machine = view.rooms[plan.room].id.clone();
+        info!(job = %id, machine = %machine, victims = plan.victims.len(), breaches = plan.breaches, "nominate");
+        self.counts.nominations += 1;
+        let grace = self.config.options.grace;
+        for key in &plan.victims {
+            info!(task = %key.0, machine = %machine, by = %id, "preempt");
+            self.counts.victims += 1;
+            if let Some(victim) = self.jobs.get(&key.0.job).map(|j| j.spec.clone()) {
+                add(&mut view.leaving, &victim.team, &victim.need);
+            }
+            let decided = self.machines[&machine]
+                .tasks
+                .get(key)
+                .is_some_and(|p| p.phase == Phase::Decided);
+            self.stop(&machine, key, grace, now);
+            if decided {
+                let freed = self.machines[&machine].free();
+                view.rooms[plan.room].free = freed;
+            }
+        }
+        self.jobs
+            .get_mut(id)
+            .expect("job at hand")
+            .nominations
+            .push(machine.clone());
+        self.refresh_held(view, id);
+        self.clear_lower(view, plan.room, spec);
+    }
+
+    /// A higher nomination that leaves no room clears the lower ones.
+    fn clear_lower(&mut self, view: &mut View, index: usize, spec: &JobSpec) {
+        let machine = self.machines[&view.rooms[index].id].clone();
+        let mut lower: Vec<(Priority, JobId, Resources)> = Vec::new();
+        let mut free = machine.free();
+        for p in machine
+            .tasks
+            .values()
+            .filter(|p| p.stopping() && !p.exited())
+        {
+            free = free.plus(&p.need);
+        }
+        for held in &view.rooms[index].held {
+            if held.0 >= spec.priority {
+                free = free.minus(&held.2);
+            } else {
+                lower.push(held.clone());
+            }
+        }
+        lower.sort_by_key(|held| Reverse(held.0));
+        for (_, job, need) in lower {
+            if need.fits_in(&free) {
+                free = free.minus(&need);
+                continue;
+            }
+            if let Some(entry) = self.jobs.get_mut(&job) {
+                if let Some(at) = entry.nominations.iter().position(|m| *m == machine.id) {
+                    entry.nominations.remove(at);
+                }
+                info!(job = %job, machine = %machine.id, "nomination cleared");
+                self.counts.cleared += 1;
+                self.queue.push(&job, entry);
+                self.refresh_held(view, &job);
+            }
+        }
+    }
+
+    /// A gang starts whole, once nothing of its last attempt is left anywhere.
+    fn place_gang(
+        &mut self,
+        view: &mut View,
+        id: &JobId,
+        spec: &Arc<JobSpec>,
+        now: Duration,
+    ) -> bool {
+        if self.jobs[id].placed > 0 || self.over_limit(view, spec, spec.tasks) {
+            return false;
+        }
+        let lingering = self.machines.values().any(|m| {
+            m.tasks
+                .iter()
+                .any(|((task, _), p)| task.job == *id && !p.exited())
+        });
+        if lingering {
+            return false;
+        }
+        let tasks: Vec<u32> = (0..spec.tasks)
+            .filter(|i| self.jobs[id].slots[*i as usize] == Slot::Waiting)
+            .collect();
+        for zones in self.gang_zones(spec) {
+            if let Some(rooms) = self.fit_gang(view, spec, &tasks, &zones, now) {
+                self.jobs
+                    .get_mut(id)
+                    .expect("job at hand")
+                    .nominations
+                    .clear();
+                self.refresh_held(view, id);
+                let attempt = self.next_attempt();
+                for (index, room) in tasks.iter().zip(rooms) {
+                    let machine = view.rooms[room].id.clone();
+                    let task = TaskId {
+                        job: id.clone(),
+                        index: *index,
+                    };
+                    self.put(view, room, &machine, task, attempt, now);
+                }
+                return true;
+            }
+        }
+        self.drop_spent(view, id);
+        if self.jobs[id].nominations.is_empty() {
+            self.make_room_for_gang(view, id, spec, &tasks, now);
+        }
+        false
+    }
+
+    /// The zones to try, each alone where the gang must stay in one.
+    fn gang_zones(&self, spec: &JobSpec) -> Vec<Vec<Arc<str>>> {
+        let mut zones: Vec<Arc<str>> = self.machines.values().map(|m| m.zone.clone()).collect();
+        zones.sort();
+        zones.dedup();
+        match spec.one_zone {
+            true => zones.into_iter().map(|z| vec![z]).collect(),
+            false => vec![zones],
+        }
+    }
+
+    /// Rooms for every task of a gang, tried on the view and put back.
+    fn fit_gang(
+        &self,
+        view: &mut View,
+        spec: &JobSpec,
+        tasks: &[u32],
+        zones: &[Arc<str>],
+        now: Duration,
+    ) -> Option<Vec<usize>> {
+        let before: Vec<Resources> = view.rooms.iter().map(|r| r.free).collect();
+        let zones_before = view.zones.clone();
+        let mut chosen = Vec::new();
+        for room in &mut view.rooms {
+            if !zones.contains(&self.machines[&room.id].zone) {
+                room.free = Resources::default().minus(&spec.need);
+            }
+        }
+        for _ in tasks {
+            let Some(i) = self.best_fit(view, spec, now) else {
+                break;
+            };
+            view.rooms[i].free = view.rooms[i].free.minus(&spec.need);
+            let zone = self.machines[&view.rooms[i].id].zone.clone();
+            *view.zones.entry(zone).or_insert(0) += 1;
+            chosen.push(i);
+        }
+        for (room, free) in view.rooms.iter_mut().zip(before) {
+            room.free = free;
+        }
+        view.zones = zones_before;
+        (chosen.len() == tasks.len()).then_some(chosen)
+    }
+
+    /// Victims for a whole gang, or none at all.
+    fn make_room_for_gang(
+        &mut self,
+        view: &mut View,
+        id: &JobId,
+        spec: &Arc<JobSpec>,
+        tasks: &[u32],
+        now: Duration,
+    ) {
+        for zones in self.gang_zones(spec) {
+            let before: Vec<Resources> = view.rooms.iter().map(|r| r.free).collect();
+            let zones_before = view.zones.clone();
+            let mut plans = Vec::new();
+            for room in &mut view.rooms {
+                if !zones.contains(&self.machines[&room.id].zone) {
+                    room.free = room.free.plus_times(&self.machines[&room.id].size, -2.0);
+                }
+            }
+            for _ in tasks {
+                let Some(plan) = self.best_plan(view, spec) else {
+                    break;
+                };
+                let room = &mut view.rooms[plan.room];
+                room.free = room.free.plus(&plan.freed).minus(&spec.need);
+                room.victims.extend(plan.victims.iter().cloned());
+                let zone = self.machines[&room.id].zone.clone();
+                *view.zones.entry(zone).or_insert(0) += 1;
+                plans.push(plan);
+            }
+            for (room, free) in view.rooms.iter_mut().zip(before) {
+                room.free = free;
+                room.victims.clear();
+            }
+            view.zones = zones_before;
+            if plans.len() == tasks.len() {
+                for plan in plans {
+                    self.nominate(view, id, spec, plan, now);
+                }
+                return;
+            }
+        }
+    }
+}
+
+fn add(usage: &mut HashMap<Arc<str>, Resources>, team: &Arc<str>, need: &Resources) {
+    let entry = usage.entry(team.clone()).or_default();
+    *entry = entry.plus(need);
+}
+
+fn zone_allowed(zones: &BTreeMap<Arc<str>, u32>, zone: &Arc<str>, spec: &JobSpec) -> bool {
+    if spec.one_zone && zones.iter().any(|(z, n)| z != zone && *n > 0) {
+        return false;
+    }
+    !spec.spread || zones.get(zone).copied().unwrap_or(0) < spec.zone_limit()
+}
--- /dev/null
+++ b/src/core/store.rs
@@ -0,0 +1,150 @@
+//! What the core asks of the state service, what it hears back, and the keys it uses.
+
+use std::time::Duration;
+
+use serde::Serialize;
+use serde_json::value::RawValue;
+
+use super::job::JobId;
+
+/// Everything a follower has to keep in sight: the leader, machine types and active jobs.
+pub const LIVE: &str = "live/";
+pub const LEADER: &str = "live/leader";
+pub const TYPES: &str = "live/types";
+pub const JOBS: &str = "live/job/";
+pub const FINALS: &str = "final/";
+pub const PROGRESS: &str = "progress/";
+pub const ROSTER: &str = "machine/";
+
+pub fn job_key(id: &JobId) -> String {
+    format!("{JOBS}{id}")
+}
+
+pub fn final_key(id: &JobId) -> String {
+    format!("{FINALS}{id}")
+}
+
+pub fn progress_key(id: &JobId, chunk: u32) -> String {
+    format!("{PROGRESS}{id}/{chunk}")
+}
+
+pub fn machine_key(id: &str) -> String {
+    format!("{ROSTER}{id}")
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub struct Condition {
+    pub key: String,
+    /// Revision of the key's last change; 0: the key does not exist.
+    pub version: u64,
+}
+
+pub fn when(key: impl Into<String>, version: u64) -> Condition {
+    Condition {
+        key: key.into(),
+        version,
+    }
+}
+
+#[derive(Debug, Clone)]
+pub enum Change {
+    Put {
+        key: String,
+        value: Box<RawValue>,
+        lease: Option<u64>,
+    },
+    Delete {
+        key: String,
+    },
+}
+
+pub fn put(key: impl Into<String>, value: &impl Serialize) -> Change {
+    put_leased(key, value, None)
+}
+
+pub fn put_leased(key: impl Into<String>, value: &impl Serialize, lease: Option<u64>) -> Change {
+    Change::Put {
+        key: key.into(),
+        value: serde_json::value::to_raw_value(value).unwrap_or_default(),
+        lease,
+    }
+}
+
+pub fn delete(key: impl Into<String>) -> Change {
+    Change::Delete { key: key.into() }
+}
+
+#[derive(Debug, Clone)]
+pub enum StateRequest {
+    Get {
+        key: String,
+    },
+    List {
+        prefix: &'static str,
+        after: Option<String>,
+    },
+    Txn {
+        conditions: Vec<Condition>,
+        changes: Vec<Change>,
+    },
+    Grant {
+        ttl: Duration,
+    },
+    Renew {
+        lease: u64,
+    },
+    End {
+        lease: u64,
+    },
+    Watch {
+        prefix: &'static str,
+        after: u64,
+        wait: Duration,
+    },
+}
+
+#[derive(Debug, Clone)]
+pub struct Entry {
+    pub key: String,
+    pub value: Box<RawValue>,
+    pub version: u64,
+}
+
+#[derive(Debug, Clone)]
+pub struct Event {
+    pub key: String,
+    /// The new value, or none where the key was removed.
+    pub value: Option<Box<RawValue>>,
+    pub revision: u64,
+}
+
+#[derive(Debug, Clone)]
+pub enum StateReply {
+    Entry(Entry),
+    Missing,
+    Entries {
+        entries: Vec<Entry>,
+        more: bool,
+        revision: u64,
+    },
+    Committed {
+        revision: u64,
+    },
+    Conflict,
+    Granted {
+        lease: u64,
+    },
+    Renewed,
+    LeaseGone,
+    Events {
+        events: Vec<Event>,
+        revision: u64,
+    },
+    TooOld,
+    /// Not executed: over a limit or in an outage.
+    Refused {
+        retry: Option<Duration>,
+    },
+    /// No answer: the request may have been executed, or may be later.
+    Unclear,
+}
--- /dev/null
+++ b/src/io/mod.rs
@@ -0,0 +1,104 @@
+//! Sockets, clocks and timers around the core. Nothing is decided here.
+
+mod client;
+mod server;
+
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    rc::Rc,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::MissedTickBehavior,
+};
+
+use crate::{
+    core::{
+        Answer, Clock, Input, Node, Output, RequestId,
+        config::{Config, Options},
+    },
+    settings::Settings,
+};
+
+/// How often the core is asked whether anything is due.
+const TICK: Duration = Duration::from_millis(40);
+
+/// A request from outside, with the place its answer goes to.
+pub struct Call {
+    pub make: Box<dyn FnOnce(RequestId) -> Input + Send>,
+    pub answer: oneshot::Sender<Answer>,
+}
+
+/// Serves until the process is ended.
+pub async fn serve(settings: Settings, options: Options) -> std::io::Result<()> {
+    let (calls, mut incoming) = mpsc::channel::<Call>(1024);
+    let config = Config::new(&settings, options);
+    let listener = server::bind(&settings)?;
+    let tasks = tokio::task::LocalSet::new();
+    tasks
+        .run_until(async move {
+            tokio::task::spawn_local(server::serve(listener, settings.clone(), calls));
+            let (results, mut replies) = mpsc::unbounded_channel::<Input>();
+            let client = client::Client::new(&settings, results);
+            let mut tick = tokio::time::interval(TICK);
+            tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+            let driver = Driver {
+                node: RefCell::new(Node::new(config)),
+                waiting: RefCell::default(),
+                started: Instant::now(),
+                client: Rc::new(client),
+            };
+            let mut next_request: RequestId = 0;
+            loop {
+                tokio::select! {
+                    Some(call) = incoming.recv() => {
+                        next_request += 1;
+                        driver.waiting.borrow_mut().insert(next_request, call.answer);
+                        driver.step((call.make)(next_request));
+                    }
+                    Some(input) = replies.recv() => driver.step(input),
+                    _ = tick.tick() => driver.step(Input::Tick),
+                }
+            }
+        })
+        .await
+}
+
+struct Driver {
+    node: RefCell<Node>,
+    waiting: RefCell<HashMap<RequestId, oneshot::Sender<Answer>>>,
+    started: Instant,
+    client: Rc<client::Client>,
+}
+
+impl Driver {
+    fn step(&self, input: Input) {
+        let wall = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        let clock = Clock {
+            now: self.started.elapsed(),
+            wall_ms: wall.as_millis() as u64,
+        };
+        let outputs = self.node.borrow_mut().step(clock, input);
+        for output in outputs {
+            match output {
+                Output::Answer { request, answer } => {
+                    if let Some(waiting) = self.waiting.borrow_mut().remove(&request) {
+                        // The asker may have gone; nobody else needs the answer.
+                        let _ = waiting.send(answer);
+                    }
+                }
+                Output::State {
+                    call,
+                    request,
+                    timeout,
+                } => self.client.state(call, request, timeout),
+                Output::Cloud { call, request } => self.client.cloud(call, request),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/io/server.rs
@@ -0,0 +1,240 @@
+//! What users, workers and the load balancer reach.
+
+use std::{net::TcpListener, sync::Arc, time::Duration};
+
+use poem::{
+    Body, Endpoint, EndpointExt, Request, Response, Route, Server, get,
+    http::{StatusCode, header},
+    listener::TcpAcceptor,
+    post,
+};
+use tokio::sync::{Semaphore, mpsc, oneshot};
+
+use super::Call;
+use crate::{
+    core::{Answer, Input, RequestId, job::JobId},
+    settings::Settings,
+    wire,
+};
+
+const BODY_MOST: usize = 64 * 1024;
+/// Requests that are worked on at a time.
+const IN_WORK_MOST: usize = 1024;
+/// Longer than the core takes to give up on any call of its own.
+const ANSWER_WITHIN: Duration = Duration::from_secs(4);
+const IDLE_CONNECTION: Duration = Duration::from_secs(60);
+
+pub fn bind(settings: &Settings) -> std::io::Result<TcpListener> {
+    let listener = TcpListener::bind(settings.listen)?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
+
+#[derive(Clone)]
+struct Api {
+    calls: mpsc::Sender<Call>,
+    in_work: Arc<Semaphore>,
+}
+
+pub async fn serve(
+    listener: TcpListener,
+    _settings: Settings,
+    calls: mpsc::Sender<Call>,
+) -> std::io::Result<()> {
+    let listener = tokio::net::TcpListener::from_std(listener)?;
+    let acceptor = TcpAcceptor::from_tokio(listener)?;
+    let api = Api {
+        calls,
+        in_work: Arc::new(Semaphore::new(IN_WORK_MOST)),
+    };
+    Server::new_with_acceptor(acceptor)
+        .idle_timeout(IDLE_CONNECTION)
+        .run(routes(api))
+        .await
+}
+
+fn routes(api: Api) -> impl Endpoint {
+    let on = |handle: Handle| Served {
+        api: api.clone(),
+        handle,
+    };
+    Route::new()
+        .at("/work", post(on(Handle::Submit)))
+        .at("/work/:id", get(on(Handle::Status)))
+        .at("/work/:id/withdraw", post(on(Handle::Withdraw)))
+        .at("/ready", get(on(Handle::Ready)))
+        .at("/checkin", post(on(Handle::Report)))
+        .catch_all_error(|error| async move {
+            text(error.status(), wire::user::error_answer(&error.to_string()))
+        })
+}
+
+#[derive(Clone, Copy)]
+enum Handle {
+    Submit,
+    Status,
+    Withdraw,
+    Ready,
+    Report,
+}
+
+struct Served {
+    api: Api,
+    handle: Handle,
+}
+
+impl Endpoint for Served {
+    type Output = Response;
+
+    async fn call(&self, request: Request) -> poem::Result<Response> {
+        let Ok(_permit) = self.api.in_work.try_acquire() else {
+            return Ok(later(Duration::from_secs(1)));
+        };
+        Ok(match self.handle {
+            Handle::Submit => self.submit(request).await,
+            Handle::Report => self.report(request).await,
+            Handle::Status => {
+                self.about(&request, |request, id| Input::Status { request, id })
+                    .await
+            }
+            Handle::Withdraw => {
+                self.about(&request, |request, id| Input::Withdraw { request, id })
+                    .await
+            }
+            Handle::Ready => self.api.ask(|request| Input::Ready { request }).await,
+        })
+    }
+}
+
+impl Served {
+    async fn submit(&self, request: Request) -> Response {
+        let body = match read(request).await {
+            Ok(body) => body,
+            Err(response) => return response,
+        };
+        match wire::user::parse_submission(&body) {
+            Ok(spec) => {
+                let spec = Arc::new(spec);
+                self.api
+                    .ask(move |request| Input::Submit { request, spec })
+                    .await
+            }
+            Err(message) => text(StatusCode::BAD_REQUEST, wire::user::error_answer(&message)),
+        }
+    }
+
+    async fn report(&self, request: Request) -> Response {
+        let body = match read(request).await {
+            Ok(body) => body,
+            Err(response) => return response,
+        };
+        match wire::worker::parse_report(&body) {
+            Ok(report) => {
+                self.api
+                    .ask(move |request| Input::Report { request, report })
+                    .await
+            }
+            Err(message) => text(StatusCode::BAD_REQUEST, wire::user::error_answer(&message)),
+        }
+    }
+
+    async fn about(&self, request: &Request, make: fn(RequestId, JobId) -> Input) -> Response {
+        // An id of another form was never accepted.
+        match JobId::parse(&request.path_params::<String>().unwrap_or_default()) {
+            Some(id) => self.api.ask(move |request| make(request, id)).await,
+            None => respond(Answer::NotFound),
+        }
+    }
+}
+
+impl Api {
+    async fn ask(&self, make: impl FnOnce(RequestId) -> Input + Send + 'static) -> Response {
+        let (answer, answered) = oneshot::channel();
+        let call = Call {
+            make: Box::new(make),
+            answer,
+        };
+        if self.calls.try_send(call).is_err() {
+            return later(Duration::from_secs(1));
+        }
+        match tokio::time::timeout(ANSWER_WITHIN, answered).await {
+            Ok(Ok(answer)) => respond(answer),
+            _ => later(Duration::from_secs(1)),
+        }
+    }
+}
+
+/// The body, unless it is larger than the protocol allows.
+async fn read(request: Request) -> Result<Vec<u8>, Response> {
+    let too_large = || {
+        text(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            wire::user::error_answer("body too large"),
+        )
+    };
+    let length = request
+        .headers()
+        .get(header::CONTENT_LENGTH)
+        .and_then(|v| v.to_str().ok()?.parse::<usize>().ok());
+    if length.is_some_and(|length| length > BODY_MOST) {
+        return Err(too_large());
+    }
+    let body: Body = request.into_body();
+    match body.into_bytes_limit(BODY_MOST).await {
+        Ok(bytes) => Ok(bytes.to_vec()),
+        Err(_) => Err(too_large()),
+    }
+}
+
+fn text(status: StatusCode, body: String) -> Response {
+    Response::builder()
+        .status(status)
+        .content_type("application/json")
+        .body(body)
+}
+
+fn later(retry: Duration) -> Response {
+    let mut response = text(
+        StatusCode::SERVICE_UNAVAILABLE,
+        wire::user::error_answer("try again later"),
+    );
+    let seconds = retry.as_secs_f64().ceil().max(1.0) as u64;
+    response
+        .headers_mut()
+        .insert(header::RETRY_AFTER, seconds.into());
+    response
+}
+
+fn respond(answer: Answer) -> Response {
+    use crate::core::job::JobState;
+    match answer {
+        Answer::Accepted(id) => text(
+            StatusCode::CREATED,
+            wire::user::job_answer(&id, JobState::Pending, None),
+        ),
+        Answer::Known(id, state) => text(StatusCode::OK, wire::user::job_answer(&id, state, None)),
+        Answer::Status(id, state, done, running) => text(
+            StatusCode::OK,
+            wire::user::job_answer(&id, state, Some((done, running))),
+        ),
+        Answer::NotFound => text(
+            StatusCode::NOT_FOUND,
+            wire::user::error_answer("no such job"),
+        ),
+        Answer::Impossible(reason) => text(
+            StatusCode::UNPROCESSABLE_ENTITY,
+            wire::user::error_answer(&reason),
+        ),
+        Answer::Later { retry } => later(retry),
+        Answer::Ready(true) => text(StatusCode::OK, "{}".into()),
+        Answer::Ready(false) => later(Duration::from_secs(1)),
+        Answer::Commands { token, commands } => text(
+            StatusCode::OK,
+            wire::worker::commands(token, None, &commands),
+        ),
+        Answer::Redirect(node) => text(
+            StatusCode::MISDIRECTED_REQUEST,
+            wire::worker::redirect(node.as_deref()),
+        ),
+    }
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,42 @@
+use std::process::ExitCode;
+
+use clap::Parser;
+use kiteyard::{cli::Cli, io, settings::Settings};
+use tracing::Level;
+use tracing_subscriber::{filter::Targets, layer::SubscriberExt, util::SubscriberInitExt};
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    match run(&cli) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("kiteyard: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(cli: &Cli) -> Result<(), Box<dyn std::error::Error>> {
+    let settings = Settings::load(&cli.config)?;
+    if cli.check {
+        return Ok(());
+    }
+    // Libraries only speak up when something is wrong.
+    let levels = Targets::new()
+        .with_default(Level::ERROR)
+        .with_target("kiteyard", cli.log_level);
+    let lines = tracing_subscriber::fmt::layer()
+        .with_writer(std::io::stderr)
+        .with_ansi(false)
+        .without_time()
+        .with_target(false);
+    tracing_subscriber::registry()
+        .with(lines)
+        .with(levels)
+        .init();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(io::serve(settings, cli.options()))?;
+    Ok(())
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,193 @@
+//! The platform's settings file, read and checked.
+
+use std::{net::SocketAddr, path::Path, time::Duration};
+
+use serde::Deserialize;
+
+/// What is wrong with a settings file.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    #[error("cannot read settings {path}: {source}")]
+    Read {
+        path: String,
+        source: std::io::Error,
+    },
+    #[error("settings field `{field}`: {message}")]
+    Field { field: String, message: String },
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Settings {
+    #[serde(rename = "label")]
+    pub node: String,
+    #[serde(rename = "site", default)]
+    pub zone: String,
+    #[serde(rename = "api_addr")]
+    pub listen: SocketAddr,
+    #[serde(rename = "cluster_listen")]
+    pub peer_listen: SocketAddr,
+    #[serde(rename = "known", default)]
+    pub peers: Vec<PeerAddress>,
+    #[serde(rename = "outside")]
+    pub services: Services,
+    pub params: Params,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct PeerAddress {
+    #[serde(rename = "label")]
+    pub node: String,
+    #[serde(rename = "peer_addr")]
+    pub addr: SocketAddr,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Services {
+    pub cloud: SocketAddr,
+    pub state: SocketAddr,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Params {
+    pub zones: Vec<String>,
+    pub teams: Vec<Team>,
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
+    pub workers: Workers,
+    pub state: StateLimits,
+    pub cloud: CloudLimits,
+    pub resources: Resources,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Team {
+    pub name: String,
+    #[serde(default)]
+    pub cpus: f64,
+    #[serde(default)]
+    pub cpus_max: f64,
+    #[serde(default)]
+    pub gpus: f64,
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+/// What users expect of a class of jobs.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Objective {
+    pub kind: String,
+    #[serde(default)]
+    pub class: String,
+    #[serde(default)]
+    pub within_s: f64,
+    #[serde(default)]
+    pub share: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Workers {
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub gang_wait_s: f64,
+    pub gang_peer_s: f64,
+    pub cancel_s: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct StateLimits {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: usize,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct CloudLimits {
+    pub rps: f64,
+    pub list_lag_s: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Resources {
+    pub sockets: usize,
+}
+
+impl Settings {
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Read {
+            path: path.display().to_string(),
+            source,
+        })?;
+        Self::parse(&text)
+    }
+
+    pub fn parse(text: &str) -> Result<Self, SettingsError> {
+        let json = &mut serde_json::Deserializer::from_str(text);
+        let settings: Self =
+            serde_path_to_error::deserialize(json).map_err(|error| SettingsError::Field {
+                field: error.path().to_string(),
+                message: error.inner().to_string(),
+            })?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), SettingsError> {
+        let fail = |field: &str, message: &str| {
+            Err(SettingsError::Field {
+                field: field.into(),
+                message: message.into(),
+            })
+        };
+        if self.node.is_empty() || self.node.len() > 64 || self.node.contains(char::is_whitespace) {
+            return fail("label", "must have 1 to 64 characters and no spaces");
+        }
+        let params = &self.params;
+        if params.zones.is_empty() {
+            return fail("params.zones", "must name at least one zone");
+        }
+        for team in &params.teams {
+            for value in [team.cpus, team.cpus_max, team.gpus, team.gpus_max] {
+                if !(0.0..1e9).contains(&value) {
+                    return fail("params.teams", "amounts must be zero or more");
+                }
+            }
+        }
+        let workers = &params.workers;
+        for (field, value) in [
+            ("params.workers.report_s", workers.report_s),
+            ("params.workers.lease_s", workers.lease_s),
+            ("params.workers.gang_wait_s", workers.gang_wait_s),
+            ("params.workers.gang_peer_s", workers.gang_peer_s),
+            ("params.workers.cancel_s", workers.cancel_s),
+            ("params.state.rps", params.state.rps),
+            ("params.state.write_rps", params.state.write_rps),
+            ("params.state.value_kb", params.state.value_kb),
+            ("params.cloud.rps", params.cloud.rps),
+        ] {
+            if !(value > 0.0 && value < 1e6) {
+                return fail(field, "must be a number above zero");
+            }
+        }
+        if !(0.0..1e6).contains(&params.cloud.list_lag_s) {
+            return fail("params.cloud.list_lag_s", "must be zero or more");
+        }
+        if params.state.txn_ops < 4 {
+            return fail("params.state.txn_ops", "must be at least 4");
+        }
+        if params.resources.sockets < 64 {
+            return fail("params.resources.sockets", "must be at least 64");
+        }
+        Ok(())
+    }
+
+    pub fn nodes(&self) -> usize {
+        self.peers.len() + 1
+    }
+}
+
+/// Seconds from a settings field or message, as the standard library's type.
+/// Anything that is not a usable duration becomes zero.
+pub fn seconds(value: f64) -> Duration {
+    Duration::try_from_secs_f64(value).unwrap_or_default()
+}
--- /dev/null
+++ b/src/wire/peer.rs
@@ -0,0 +1,1 @@
+//! What controller nodes tell one another.
--- /dev/null
+++ b/src/wire/worker.rs
@@ -0,0 +1,154 @@
+//! What workers report and what they are told.
+
+use serde::{Deserialize, Deserializer, Serialize};
+
+use crate::core::{
+    job::{JobId, TaskId},
+    machine::{Command, ReportedTask, TaskPhase, Why, WorkerReport},
+};
+
+#[derive(Debug, Deserialize, Serialize)]
+struct Report<'a> {
+    perch: &'a str,
+    endpoint: &'a str,
+    frame: &'a str,
+    field: &'a str,
+    gusts: bool,
+    launch: u64,
+    tick: u64,
+    handle: u64,
+    #[serde(default)]
+    recall_s: Option<f64>,
+    #[serde(borrow)]
+    strings: Vec<Entry<'a>>,
+}
+
+#[derive(Debug, Deserialize, Serialize)]
+struct Entry<'a> {
+    string: &'a str,
+    #[serde(rename = "try")]
+    attempt: u64,
+    attitude: &'a str,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    downcause: Option<&'a str>,
+    #[serde(default, deserialize_with = "null_is_false")]
+    kept: bool,
+}
+
+fn null_is_false<'de, D: Deserializer<'de>>(deserializer: D) -> Result<bool, D::Error> {
+    Ok(Option::<bool>::deserialize(deserializer)?.unwrap_or(false))
+}
+
+/// A worker's report, or what is wrong with it.
+pub fn parse_report(body: &[u8]) -> Result<WorkerReport, String> {
+    let r: Report<'_> = serde_json::from_slice(body).map_err(|e| e.to_string())?;
+    if r.perch.is_empty() || r.perch.len() > 100 || r.perch.contains(char::is_whitespace) {
+        return Err("perch: not a machine name".into());
+    }
+    let addr = r.endpoint.parse().map_err(|_| "endpoint: not an address")?;
+    if r.launch == 0 {
+        return Err("launch: starts at 1".into());
+    }
+    let mut tasks = Vec::with_capacity(r.strings.len());
+    for entry in &r.strings {
+        let task = parse_task(entry.string).ok_or("string: not a task")?;
+        let phase = match entry.attitude {
+            "pulling" => TaskPhase::Fetching,
+            "waiting" => TaskPhase::Waiting,
+            "running" => TaskPhase::Running,
+            "saving" => TaskPhase::Saving,
+            "exited" => TaskPhase::Exited(match entry.downcause.unwrap_or_default() {
+                "done" => Why::Done,
+                "halted" => Why::Stopped { saved: entry.kept },
+                "peers" => Why::Peers,
+                "incomplete" => Why::Incomplete,
+                "no_room" => Why::NoRoom,
+                "in_use" => Why::Busy,
+                "no_such" => Why::Unknown,
+                _ => Why::Error,
+            }),
+            _ => return Err("attitude: unknown".into()),
+        };
+        tasks.push(ReportedTask {
+            task,
+            attempt: entry.attempt,
+            phase,
+        });
+    }
+    Ok(WorkerReport {
+        machine: r.perch.into(),
+        addr,
+        machine_type: r.frame.into(),
+        zone: r.field.into(),
+        spot: r.gusts,
+        session: r.launch,
+        seq: r.tick,
+        token: r.handle,
+        notice_s: r.recall_s.filter(|s| *s >= 0.0),
+        tasks,
+    })
+}
+
+fn parse_task(text: &str) -> Option<TaskId> {
+    let (job, index) = text.rsplit_once('/')?;
+    Some(TaskId {
+        job: JobId::parse(job)?,
+        index: index.parse().ok()?,
+    })
+}
+
+#[derive(Debug, Serialize)]
+struct Answer {
+    handle: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    launch: Option<u64>,
+    signals: Vec<Signal>,
+}
+
+#[derive(Debug, Serialize)]
+struct Signal {
+    signal: &'static str,
+    string: String,
+    #[serde(rename = "try")]
+    attempt: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    glide_s: Option<f64>,
+}
+
+/// The body of a report's answer, or with a session of a direct command.
+pub fn commands(token: u64, session: Option<u64>, commands: &[Command]) -> String {
+    let signals = commands
+        .iter()
+        .map(|command| {
+            let (signal, task, attempt, glide_s) = match command {
+                Command::Start { task, attempt } => ("start", task, attempt, None),
+                Command::Stop {
+                    task,
+                    attempt,
+                    grace,
+                } => ("kill", task, attempt, Some(grace.as_secs_f64())),
+                Command::Forget { task, attempt } => ("reap", task, attempt, None),
+            };
+            Signal {
+                signal,
+                string: task.to_string(),
+                attempt: *attempt,
+                glide_s,
+            }
+        })
+        .collect();
+    let answer = Answer {
+        handle: token,
+        launch: session,
+        signals,
+    };
+    serde_json::to_string(&answer).unwrap_or_default()
+}
+
+/// The body that sends a worker to another node.
+pub fn redirect(node: Option<&str>) -> String {
+    match node {
+        Some(node) => serde_json::json!({ "spotter": node }).to_string(),
+        None => "{}".into(),
+    }
+}
