--- a/src/core/front.rs
+++ b/src/core/front.rs
@@ -157,7 +157,7 @@
         self.call(
             Purpose::Sync,
             StateRequest::Watch {
-                prefix: LIVE,
+                prefix: LIVE.into(),
                 after,
                 wait: Duration::ZERO,
             },
--- a/src/core/lead.rs
+++ b/src/core/lead.rs
@@ -247,7 +247,7 @@
             self.call(
                 Purpose::TakeOver(Loading::Sync { claim }),
                 StateRequest::Watch {
-                    prefix: LIVE,
+                    prefix: LIVE.into(),
                     after,
                     wait: Duration::ZERO,
                 },
@@ -283,7 +283,10 @@
         };
         self.call(
             Purpose::TakeOver(loading),
-            StateRequest::List { prefix, after },
+            StateRequest::List {
+                prefix: prefix.into(),
+                after,
+            },
         );
     }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -344,7 +344,7 @@
                 self.call(
                     Purpose::Load { after: false },
                     StateRequest::List {
-                        prefix: LIVE,
+                        prefix: LIVE.into(),
                         after: None,
                     },
                 );
@@ -355,7 +355,7 @@
             self.call(
                 Purpose::Watch,
                 StateRequest::Watch {
-                    prefix: LIVE,
+                    prefix: LIVE.into(),
                     after,
                     wait: WATCH_WAIT,
                 },
@@ -457,7 +457,7 @@
             self.call(
                 Purpose::Load { after: true },
                 StateRequest::List {
-                    prefix: LIVE,
+                    prefix: LIVE.into(),
                     after: Some(last),
                 },
             );
--- a/src/core/store.rs
+++ b/src/core/store.rs
@@ -80,7 +80,7 @@
         key: String,
     },
     List {
-        prefix: &'static str,
+        prefix: String,
         after: Option<String>,
     },
     Txn {
@@ -94,7 +94,7 @@
         lease: u64,
     },
     Watch {
-        prefix: &'static str,
+        prefix: String,
         after: u64,
         wait: Duration,
     },
--- /dev/null
+++ b/tests/binary.rs
@@ -0,0 +1,328 @@
+//! The real program on loopback against the stand-ins.
+
+use std::{
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    time::Duration,
+};
+
+use http::Method;
+use serde_json::{Value, json};
+
+mod standins;
+use standins::{call, submission};
+
+struct Site {
+    nodes: Vec<(SocketAddr, SocketAddr)>,
+    files: Vec<PathBuf>,
+    running: Vec<Option<Child>>,
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        for i in 0..self.running.len() {
+            self.kill(i);
+        }
+        for file in &self.files {
+            let _ = std::fs::remove_file(file);
+        }
+    }
+}
+
+impl Site {
+    async fn start(name: &str, count: usize) -> Self {
+        let addrs = standins::free_addrs(count * 2);
+        let nodes: Vec<_> = addrs.chunks(2).map(|pair| (pair[0], pair[1])).collect();
+        let named = nodes
+            .iter()
+            .enumerate()
+            .map(|(i, node)| (format!("node-{i}"), node.0));
+        let state = standins::state_service().await;
+        let cloud = standins::cloud(named.collect(), 3, Duration::from_millis(600)).await;
+        let mut site = Self {
+            files: Vec::new(),
+            running: (0..count).map(|_| None).collect(),
+            nodes,
+        };
+        for i in 0..count {
+            let settings = standins::settings(i, &site.nodes, state, cloud);
+            let file = std::env::temp_dir()
+                .join(format!("kiteyard-{name}-{}-{i}.json", std::process::id()));
+            std::fs::write(&file, settings.to_string()).expect("a settings file");
+            site.files.push(file);
+            site.launch(i);
+        }
+        for i in 0..count {
+            site.until(i, Method::GET, "/ready", None, |status, _| status == 200)
+                .await;
+        }
+        site
+    }
+
+    fn launch(&mut self, i: usize) {
+        let child = Command::new(env!("CARGO_BIN_EXE_kiteyard"))
+            .arg("--config")
+            .arg(&self.files[i])
+            .env("LOG_LEVEL", "error")
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the program starts");
+        self.running[i] = Some(child);
+    }
+
+    fn kill(&mut self, i: usize) {
+        if let Some(mut child) = self.running[i].take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    async fn ask(
+        &self,
+        i: usize,
+        method: Method,
+        path: &str,
+        body: Option<String>,
+    ) -> (u16, Value) {
+        call(method, self.nodes[i].0, path, body)
+            .await
+            .unwrap_or((0, Value::Null))
+    }
+
+    /// Asks again until the answer is as it should be.
+    async fn until(
+        &self,
+        i: usize,
+        method: Method,
+        path: &str,
+        body: Option<String>,
+        good: impl Fn(u16, &Value) -> bool,
+    ) -> Value {
+        let mut last = (0, Value::Null);
+        for _ in 0..600 {
+            last = self.ask(i, method.clone(), path, body.clone()).await;
+            if good(last.0, &last.1) {
+                return last.1;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        panic!("{path}: still {last:?}");
+    }
+
+    async fn submit(&self, i: usize, job: &Value) {
+        let body = Some(job.to_string());
+        self.until(i, Method::POST, "/work", body, |status, _| {
+            matches!(status, 200 | 201)
+        })
+        .await;
+    }
+
+    async fn becomes(&self, i: usize, id: &str, state: &str) -> Value {
+        let path = format!("/work/{id}");
+        self.until(i, Method::GET, &path, None, |_, body| {
+            body["attitude"] == state
+        })
+        .await
+    }
+}
+
+#[tokio::test]
+async fn the_api_answers_as_the_protocol_says() {
+    let site = Site::start("api", 1).await;
+    let good = submission("run-000001", "array", 3);
+    let with = |field: &str, value: Value| {
+        let mut job = good.clone();
+        job["uid"] = json!("run-000099");
+        job[field] = value;
+        job.to_string()
+    };
+    let mut missing = good.clone();
+    missing.as_object_mut().expect("an object").remove("sail");
+    let malformed = [
+        "".into(),
+        "{".into(),
+        "[1]".into(),
+        "7".into(),
+        "\"run-000001\"".into(),
+        missing.to_string(),
+        with("uid", json!("job 1")),
+        with("uid", json!("../../x")),
+        with("uid", json!(5)),
+        with("strings", json!(0)),
+        with("strings", json!(100_001)),
+        with("strings", json!(1.5)),
+        with("strings", json!("3")),
+        with("cpus", json!(-1.0)),
+        with("cpus", json!(null)),
+        with("cpus", json!("2")),
+        with("size_gb", json!(1e12)),
+        with("shape", json!("heap")),
+        with("lift", json!("highest")),
+        with("gusts", json!(1)),
+        with("frames", json!("m4")),
+        with("landby_s", json!(-5.0)),
+        good.to_string().replace("\"cpus\":1.0", "\"cpus\":1e999"),
+        good.to_string().replace("\"cpus\":1.0", "\"cpus\":NaN"),
+    ];
+    for body in malformed {
+        let (status, _) = site.ask(0, Method::POST, "/work", Some(body.clone())).await;
+        assert_eq!(status, 400, "{body}");
+    }
+    let impossible = [
+        with("crew", json!("nobody")),
+        with("cpus", json!(64.0)),
+        with("frames", json!(["giant"])),
+        with("field", json!("nowhere")),
+        submission("run-000098", "standing", 101).to_string(),
+    ];
+    for body in impossible {
+        let (status, _) = site.ask(0, Method::POST, "/work", Some(body.clone())).await;
+        assert_eq!(status, 422, "{body}");
+    }
+    let large = "x".repeat(65 * 1024);
+    assert_eq!(
+        site.ask(0, Method::POST, "/work", Some(large.clone()))
+            .await
+            .0,
+        413
+    );
+    assert_eq!(
+        site.ask(0, Method::POST, "/checkin", Some(large)).await.0,
+        413
+    );
+    assert_eq!(
+        site.ask(0, Method::POST, "/checkin", Some("{}".into()))
+            .await
+            .0,
+        400
+    );
+    for (method, path, status) in [
+        (Method::GET, "/work/run-777777", 404),
+        (Method::POST, "/work/run-777777/withdraw", 404),
+        (Method::GET, "/work/what", 404),
+        (Method::GET, "/nothing", 404),
+        (Method::GET, "/work", 405),
+        (Method::PUT, "/work/run-000001", 405),
+        (Method::POST, "/ready", 405),
+    ] {
+        assert_eq!(
+            site.ask(0, method.clone(), path, None).await.0,
+            status,
+            "{method} {path}"
+        );
+    }
+    // Accepted once, known from then on, also after its end.
+    let (status, body) = site
+        .ask(0, Method::POST, "/work", Some(good.to_string()))
+        .await;
+    assert_eq!((status, &body["attitude"]), (201, &json!("pending")));
+    assert_eq!(
+        site.ask(0, Method::POST, "/work", Some(good.to_string()))
+            .await
+            .0,
+        200
+    );
+    let body = site.becomes(0, "run-000001", "done").await;
+    assert_eq!((&body["done"], &body["running"]), (&json!(3), &json!(0)));
+    let (status, body) = site
+        .ask(0, Method::POST, "/work", Some(good.to_string()))
+        .await;
+    assert_eq!((status, &body["attitude"]), (200, &json!("done")));
+    let (status, body) = site
+        .ask(0, Method::POST, "/work/run-000001/withdraw", None)
+        .await;
+    assert_eq!((status, &body["attitude"]), (200, &json!("done")));
+    // A service runs until it is cancelled.
+    site.submit(0, &submission("run-500001", "standing", 2))
+        .await;
+    site.until(0, Method::GET, "/work/run-500001", None, |_, body| {
+        body["running"] == 2
+    })
+    .await;
+    let (status, body) = site
+        .ask(0, Method::POST, "/work/run-500001/withdraw", None)
+        .await;
+    assert_eq!((status, &body["attitude"]), (200, &json!("cancelled")));
+    assert_eq!(
+        site.becomes(0, "run-500001", "cancelled").await["running"],
+        0
+    );
+}
+
+#[tokio::test]
+async fn jobs_outlive_every_node() {
+    let mut site = Site::start("outlive", 3).await;
+    site.submit(0, &submission("run-000001", "array", 2)).await;
+    site.submit(1, &submission("run-500002", "standing", 1))
+        .await;
+    site.becomes(2, "run-000001", "done").await;
+    for i in 0..3 {
+        site.kill(i);
+    }
+    for i in 0..3 {
+        site.launch(i);
+    }
+    for i in 0..3 {
+        site.becomes(i, "run-000001", "done").await;
+        let (status, _) = site
+            .ask(
+                i,
+                Method::POST,
+                "/work",
+                Some(submission("run-000001", "array", 2).to_string()),
+            )
+            .await;
+        assert_eq!(status, 200);
+    }
+    site.until(1, Method::GET, "/work/run-500002", None, |_, body| {
+        body["running"] == 1
+    })
+    .await;
+    // One node after another is lost for a while; new work goes on.
+    for i in 0..3 {
+        site.kill(i);
+        let id = format!("run-00001{i}");
+        site.submit((i + 1) % 3, &submission(&id, "array", 4)).await;
+        site.launch(i);
+        site.becomes((i + 2) % 3, &id, "done").await;
+    }
+}
+
+#[test]
+fn flags_and_settings_are_checked() {
+    let run = |args: &[&str]| {
+        let output = Command::new(env!("CARGO_BIN_EXE_kiteyard"))
+            .args(args)
+            .output()
+            .expect("it runs");
+        let error = String::from_utf8(output.stderr).expect("text");
+        let text = String::from_utf8(output.stdout).expect("text");
+        (output.status.success(), text, error)
+    };
+    assert!(run(&["--help"]).1.contains("--config"));
+    assert!(run(&["--version"]).1.starts_with("kiteyard "));
+    assert!(!run(&["--frobnicate"]).0);
+    assert!(!run(&["--config", "/nonexistent/settings.json"]).0);
+    let addrs = standins::free_addrs(4);
+    let settings = standins::settings(0, &[(addrs[0], addrs[1])], addrs[2], addrs[3]);
+    let path = std::env::temp_dir().join(format!("kiteyard-check-{}.json", std::process::id()));
+    let check = |settings: &Value| {
+        std::fs::write(&path, settings.to_string()).expect("a settings file");
+        run(&["--config", &path.display().to_string(), "--check"])
+    };
+    let mut odd = settings.clone();
+    odd["unheard_of"] = json!({"a": 1});
+    assert!(check(&odd).0);
+    let mut bad = settings.clone();
+    bad["params"]["workers"]["lease_s"] = json!("ten");
+    let (ok, _, error) = check(&bad);
+    assert!(
+        !ok && error.contains("params.workers.lease_s") && error.lines().count() == 1,
+        "{error}"
+    );
+    bad["params"]["workers"]["lease_s"] = json!(-1.0);
+    let (ok, _, error) = check(&bad);
+    assert!(!ok && error.contains("params.workers.lease_s"), "{error}");
+    let _ = std::fs::remove_file(&path);
+}
--- /dev/null
+++ b/tests/standins/mod.rs
@@ -0,0 +1,465 @@
+//! Stand-ins for the state service, the cloud and its workers on loopback,
+//! written from the protocol. Enough to try the program, and to test it.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use http::{Method, StatusCode};
+use kiteyard::core::store::{Change, Condition, Entry, StateReply, StateRequest};
+use poem::{
+    Endpoint, EndpointExt, Request, Response, Route, Server, handler, listener::TcpAcceptor, post,
+    web::Data,
+};
+use serde_json::{Value, json, value::to_raw_value};
+
+#[path = "../world/state.rs"]
+mod state;
+use state::State;
+
+/// A small client: one request and its answer.
+pub async fn call(
+    method: Method,
+    addr: SocketAddr,
+    path: &str,
+    body: Option<String>,
+) -> Option<(u16, Value)> {
+    use http_body_util::{BodyExt, Full};
+    use hyper_util::{client::legacy::Client, rt::TokioExecutor};
+    let client = Client::builder(TokioExecutor::new()).build_http::<Full<bytes::Bytes>>();
+    let request = http::Request::builder()
+        .method(method)
+        .uri(format!("http://{addr}{path}"))
+        .body(Full::new(bytes::Bytes::from(body.unwrap_or_default())))
+        .ok()?;
+    let answer = async {
+        let response = client.request(request).await.ok()?;
+        let status = response.status().as_u16();
+        let bytes = response.into_body().collect().await.ok()?.to_bytes();
+        Some((
+            status,
+            serde_json::from_slice(&bytes).unwrap_or(Value::Null),
+        ))
+    };
+    tokio::time::timeout(Duration::from_secs(4), answer)
+        .await
+        .ok()?
+}
+
+async fn serve(endpoint: impl Endpoint + 'static) -> SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a free port");
+    let addr = listener.local_addr().expect("bound");
+    let acceptor = TcpAcceptor::from_tokio(listener).expect("an acceptor");
+    tokio::spawn(Server::new_with_acceptor(acceptor).run(endpoint));
+    addr
+}
+
+fn answer(status: u16, body: &Value) -> Response {
+    Response::builder()
+        .status(StatusCode::from_u16(status).expect("a status"))
+        .body(body.to_string())
+}
+
+// State service.
+
+type Shared = Arc<(Mutex<State>, Instant)>;
+
+/// Starts a state service and returns where it listens.
+pub async fn state_service() -> SocketAddr {
+    let shared: Shared = Arc::new((Mutex::new(State::default()), Instant::now()));
+    serve(poem::endpoint::make(move |request| {
+        let shared = shared.clone();
+        async move { state_request(shared, request).await }
+    }))
+    .await
+}
+
+fn query(request: &Request, name: &str) -> Option<String> {
+    let query = request.uri().query()?;
+    query
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)
+        .map(|(_, value)| value.to_owned())
+}
+
+fn state_call(request: &Request, body: &Value) -> Option<StateRequest> {
+    let path = request.uri().path();
+    if let Some(key) = path.strip_prefix("/kv/") {
+        return Some(StateRequest::Get { key: key.into() });
+    }
+    if let Some(lease) = path.strip_prefix("/holds/") {
+        let lease = lease.strip_suffix("/renew")?.parse().ok()?;
+        return Some(StateRequest::Renew { lease });
+    }
+    Some(match path {
+        "/kv" => StateRequest::List {
+            prefix: query(request, "prefix")?,
+            after: query(request, "after"),
+        },
+        "/holds" => StateRequest::Grant {
+            ttl: Duration::from_millis(body["ttl_ms"].as_u64()?),
+        },
+        "/watch" => StateRequest::Watch {
+            prefix: query(request, "prefix")?,
+            after: query(request, "after")?.parse().ok()?,
+            wait: Duration::from_millis(query(request, "wait_ms")?.parse().ok()?),
+        },
+        "/txn" => {
+            let condition = |c: &Value| {
+                Some(Condition {
+                    key: c["key"].as_str()?.into(),
+                    version: c["mark"].as_u64()?,
+                })
+            };
+            let change = |c: &Value| match c["set"].as_str() {
+                Some(key) => Some(Change::Put {
+                    key: key.into(),
+                    value: to_raw_value(&c["data"]).ok()?,
+                    lease: c["tether"].as_u64(),
+                }),
+                None => Some(Change::Delete {
+                    key: c["delete"].as_str()?.into(),
+                }),
+            };
+            let items = |name: &str| body[name].as_array().cloned().unwrap_or_default();
+            StateRequest::Txn {
+                conditions: items("when").iter().map(condition).collect::<Option<_>>()?,
+                changes: items("apply").iter().map(change).collect::<Option<_>>()?,
+            }
+        }
+        _ => return None,
+    })
+}
+
+async fn state_request(shared: Shared, mut request: Request) -> Response {
+    let body = request.take_body().into_vec().await.unwrap_or_default();
+    let body = serde_json::from_slice(&body).unwrap_or(Value::Null);
+    let Some(asked) = state_call(&request, &body) else {
+        return answer(400, &json!({"error": "malformed"}));
+    };
+    let (state, started) = &*shared;
+    let wait = match &asked {
+        StateRequest::Watch { wait, .. } => *wait,
+        _ => Duration::ZERO,
+    };
+    let until = Instant::now() + wait;
+    let reply = loop {
+        let reply = state
+            .lock()
+            .expect("not poisoned")
+            .call(started.elapsed(), &asked);
+        match reply {
+            Some(reply) => break reply,
+            None if Instant::now() < until => tokio::time::sleep(Duration::from_millis(5)).await,
+            None => {
+                let revision = state.lock().expect("not poisoned").revision();
+                return answer(200, &json!({"logline": revision, "events": []}));
+            }
+        }
+    };
+    let item =
+        |e: &Entry| json!({"key": e.key, "data": e.value, "mark": e.version, "tether": null});
+    match reply {
+        StateReply::Entry(entry) => answer(200, &item(&entry)),
+        StateReply::Missing => answer(404, &json!({"logline": 0})),
+        StateReply::Entries {
+            entries,
+            more,
+            revision,
+        } => {
+            let items: Vec<Value> = entries.iter().map(item).collect();
+            answer(
+                200,
+                &json!({"items": items, "more": more, "logline": revision}),
+            )
+        }
+        StateReply::Committed { revision } => answer(200, &json!({"logline": revision})),
+        StateReply::Conflict => answer(409, &json!({"failed": [], "logline": 0})),
+        StateReply::Granted { lease } => answer(200, &json!({"tether": lease})),
+        StateReply::Renewed => answer(200, &json!({})),
+        StateReply::LeaseGone if matches!(asked, StateRequest::Txn { .. }) => {
+            answer(400, &json!({"error": "no such lease"}))
+        }
+        StateReply::LeaseGone => answer(404, &json!({})),
+        StateReply::Events { events, revision } => {
+            let events: Vec<Value> = events
+                .iter()
+                .map(|e| match &e.value {
+                    Some(value) => json!({"set": e.key, "data": value, "mark": e.revision}),
+                    None => json!({"delete": e.key, "mark": e.revision}),
+                })
+                .collect();
+            answer(200, &json!({"logline": revision, "events": events}))
+        }
+        StateReply::TooOld => answer(410, &json!({})),
+        StateReply::Refused { .. } | StateReply::Unclear => answer(503, &json!({})),
+    }
+}
+
+// Cloud and workers.
+
+#[derive(Clone)]
+struct Cloud {
+    nodes: Vec<(String, SocketAddr)>,
+    machines: Arc<Mutex<BTreeMap<String, Arc<Mutex<Worker>>>>>,
+    /// How long each task runs.
+    run: Duration,
+}
+
+struct Worker {
+    name: String,
+    endpoint: SocketAddr,
+    session: u64,
+    seq: u64,
+    token: u64,
+    tasks: BTreeMap<(String, u64), WorkerTask>,
+    gone: bool,
+}
+
+struct WorkerTask {
+    ends: Instant,
+    why: Option<&'static str>,
+}
+
+/// Starts a cloud with some machines that are up, whose tasks take `run`.
+/// Replicas are told from tasks by their job's name: those below 500000 end.
+pub async fn cloud(nodes: Vec<(String, SocketAddr)>, up: usize, run: Duration) -> SocketAddr {
+    let cloud = Cloud {
+        nodes,
+        machines: Arc::default(),
+        run,
+    };
+    for _ in 0..up {
+        cloud.rent().await;
+    }
+    serve(
+        Route::new()
+            .at("/flavors", poem::get(flavors))
+            .at("/hosts", poem::get(list).post(rent))
+            .at("/hosts/release", post(release))
+            .data(cloud),
+    )
+    .await
+}
+
+#[handler]
+fn flavors() -> Response {
+    answer(
+        200,
+        &json!({"frames": [{"label": "m4", "cpus": 4, "gpus": 0, "mem_gb": 16, "local_gb": 20,
+            "fetch_gb_per_s": 1.0, "hourly": 1.0, "market_price": 0.4, "boot_s": 1, "fields": ["a"]}]}),
+    )
+}
+
+#[handler]
+fn list(cloud: Data<&Cloud>) -> Response {
+    let machines = cloud.machines.lock().expect("not poisoned");
+    let listed: Vec<Value> = machines
+        .iter()
+        .map(|(name, worker)| {
+            let endpoint = worker.lock().expect("not poisoned").endpoint;
+            json!({"uid": name, "endpoint": endpoint, "frame": "m4", "field": "a", "gusts": false,
+                "attitude": "running", "age_s": 5.0})
+        })
+        .collect();
+    answer(200, &json!({"perches": listed, "more": false}))
+}
+
+#[handler]
+async fn rent(cloud: Data<&Cloud>) -> Response {
+    let name = cloud.rent().await;
+    answer(200, &json!({"perches": [name]}))
+}
+
+#[handler]
+async fn release(cloud: Data<&Cloud>, body: String) -> Response {
+    let body: Value = serde_json::from_str(&body).unwrap_or(Value::Null);
+    for name in body["perches"].as_array().into_iter().flatten() {
+        let mut machines = cloud.machines.lock().expect("not poisoned");
+        if let Some(worker) = machines.remove(name.as_str().unwrap_or_default()) {
+            worker.lock().expect("not poisoned").gone = true;
+        }
+    }
+    answer(200, &json!({}))
+}
+
+impl Cloud {
+    async fn rent(&self) -> String {
+        let count = self.machines.lock().expect("not poisoned").len();
+        let name = format!("vm-{:06}", count + 1);
+        let worker = Arc::new(Mutex::new(Worker {
+            name: name.clone(),
+            endpoint: "127.0.0.1:1".parse().expect("an address"),
+            session: 1,
+            seq: 0,
+            token: 0,
+            tasks: BTreeMap::new(),
+            gone: false,
+        }));
+        let (shared, run) = (worker.clone(), self.run);
+        let endpoint = serve(poem::endpoint::make(move |mut request: Request| {
+            let shared = shared.clone();
+            async move {
+                let body = request.take_body().into_vec().await.unwrap_or_default();
+                let body: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
+                let mut worker = shared.lock().expect("not poisoned");
+                let good = body["handle"].as_u64() >= Some(worker.token)
+                    && body["launch"].as_u64() == Some(worker.session);
+                if good {
+                    worker.execute(&body, run);
+                }
+                let report = worker.report();
+                answer(if good { 200 } else { 409 }, &report)
+            }
+        }))
+        .await;
+        worker.lock().expect("not poisoned").endpoint = endpoint;
+        tokio::spawn(reporting(worker.clone(), self.nodes.clone(), self.run));
+        self.machines
+            .lock()
+            .expect("not poisoned")
+            .insert(name.clone(), worker);
+        name
+    }
+}
+
+async fn reporting(worker: Arc<Mutex<Worker>>, nodes: Vec<(String, SocketAddr)>, run: Duration) {
+    let mut node = 0;
+    loop {
+        let report = {
+            let mut worker = worker.lock().expect("not poisoned");
+            if worker.gone {
+                return;
+            }
+            worker.report().to_string()
+        };
+        let reply = call(Method::POST, nodes[node].1, "/checkin", Some(report)).await;
+        let pause = match reply {
+            Some((200, body)) => {
+                worker.lock().expect("not poisoned").execute(&body, run);
+                200
+            }
+            Some((421, body)) => {
+                let named = nodes
+                    .iter()
+                    .position(|(name, _)| body["spotter"] == name.as_str());
+                let other = named.filter(|n| *n != node);
+                let pause = if other.is_some() { 50 } else { 500 };
+                node = other.unwrap_or((node + 1) % nodes.len());
+                pause
+            }
+            _ => {
+                node = (node + 1) % nodes.len();
+                500
+            }
+        };
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+    }
+}
+
+impl Worker {
+    fn execute(&mut self, body: &Value, run: Duration) {
+        let token = body["handle"].as_u64().unwrap_or(0);
+        if token < self.token {
+            return;
+        }
+        self.token = token;
+        for signal in body["signals"].as_array().into_iter().flatten() {
+            let (Some(task), Some(attempt)) = (signal["string"].as_str(), signal["try"].as_u64())
+            else {
+                continue;
+            };
+            let key = (task.to_owned(), attempt);
+            match signal["signal"].as_str() {
+                Some("start") => {
+                    let endless = task.as_bytes().get(4).is_some_and(|digit| *digit >= b'5');
+                    let run = if endless { run * 10_000 } else { run };
+                    self.tasks.entry(key).or_insert(WorkerTask {
+                        ends: Instant::now() + run,
+                        why: None,
+                    });
+                }
+                Some("kill") => {
+                    if let Some(task) = self.tasks.get_mut(&key) {
+                        task.why.get_or_insert("halted");
+                    }
+                }
+                Some("reap") => {
+                    self.tasks.remove(&key);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn report(&mut self) -> Value {
+        self.seq += 1;
+        let now = Instant::now();
+        let mut tasks = Vec::new();
+        for ((task, attempt), state) in &mut self.tasks {
+            if now >= state.ends {
+                state.why.get_or_insert("done");
+            }
+            tasks.push(match state.why {
+                Some(why) => {
+                    json!({"string": task, "try": attempt, "attitude": "exited", "downcause": why})
+                }
+                None => json!({"string": task, "try": attempt, "attitude": "running"}),
+            });
+        }
+        json!({"perch": self.name, "endpoint": self.endpoint, "frame": "m4", "field": "a", "gusts": false,
+            "launch": self.session, "tick": self.seq, "handle": self.token, "recall_s": null,
+            "strings": tasks})
+    }
+}
+
+/// The settings of one of several nodes.
+pub fn settings(
+    index: usize,
+    nodes: &[(SocketAddr, SocketAddr)],
+    state: SocketAddr,
+    cloud: SocketAddr,
+) -> Value {
+    let known: Vec<Value> = (0..nodes.len())
+        .filter(|i| *i != index)
+        .map(|i| json!({"label": format!("node-{i}"), "site": "a", "peer_addr": nodes[i].1}))
+        .collect();
+    json!({
+        "label": format!("node-{index}"), "site": "a",
+        "api_addr": nodes[index].0, "cluster_listen": nodes[index].1, "known": known,
+        "outside": {"cloud": cloud, "state": state},
+        "params": {
+            "zones": ["a"],
+            "teams": [{"name": "desk", "cpus": 4.0, "cpus_max": 100.0}],
+            "objectives": [],
+            "workers": {"report_s": 0.5, "lease_s": 5.0, "gang_wait_s": 10.0, "gang_peer_s": 3.0, "cancel_s": 20.0},
+            "state": {"rps": 300.0, "write_rps": 100.0, "value_kb": 16.0, "txn_ops": 16},
+            "cloud": {"rps": 10.0, "list_lag_s": 2.0},
+            "resources": {"cpu_share": 1.0, "memory_mb": 100.0, "sockets": 500}
+        }
+    })
+}
+
+/// A submission that the stand-ins can run.
+pub fn submission(id: &str, shape: &str, tasks: u32) -> Value {
+    json!({"uid": id, "flight": "demo", "crew": "desk", "shape": shape, "lift": "standard", "strings": tasks,
+        "cpus": 1.0, "gpus": 0.0, "mem_gb": 1.0, "sail": "img-1", "size_gb": 0.1, "frames": null, "field": null,
+        "same_place": false, "spread": false, "gusts": false, "airtime_s": 1.0, "tether_s": 0.0, "reel_s": 0.0,
+        "landby_s": null})
+}
+
+/// Addresses on loopback that nobody listens at.
+pub fn free_addrs(count: usize) -> Vec<SocketAddr> {
+    let held: Vec<std::net::TcpListener> = (0..count)
+        .map(|_| std::net::TcpListener::bind("127.0.0.1:0").expect("a free port"))
+        .collect();
+    held.iter()
+        .map(|l| l.local_addr().expect("bound"))
+        .collect()
+}
