--- a/src/core/job.rs
+++ b/src/core/job.rs
@@ -61,6 +61,11 @@
     Production,
 }
 
+impl Priority {
+    /// Every priority, the lowest first.
+    pub const ALL: [Self; 4] = [Self::Low, Self::Normal, Self::High, Self::Production];
+}
+
 /// What a user is told about a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -126,6 +126,7 @@
     pub resolve_by: Duration,
     attempts: u64,
     pub next_pass: Duration,
+    pub next_round: Duration,
     pub counts: Counts,
     next_log: Duration,
     /// The time of day.
@@ -191,6 +192,7 @@
             resolve_by,
             attempts: claim << 24,
             next_pass: Duration::ZERO,
+            next_round: Duration::ZERO,
             counts: Counts::default(),
             next_log: Duration::ZERO,
             wall_ms: 0,
@@ -409,32 +411,29 @@
 
     /// Commands that need not wait for the next report. A worker that does not
     /// know this leader's token yet gets it at once, and its tasks become known.
-    pub fn direct_commands(&mut self, now: Duration) -> Option<Direct> {
-        let due = |m: &Machine| {
-            let silent = m
-                .heard_at
-                .is_none_or(|at| now > at + self.config.report * 2);
-            let listed = |m: &Machine, task: &TaskId| m.entry.jobs.contains(&task.job);
-            let urgent = m
-                .tasks
-                .iter()
-                .any(|((task, _), p)| match (p.phase, p.stop) {
-                    (Phase::Decided, None) => m.fenced && listed(m, task),
-                    (Phase::Seen(phase), Some(stop)) => !phase.exited() && !stop.sent,
-                    _ => false,
-                });
-            !m.direct
-                && !silent
-                && now >= m.direct_retry
-                && matches!(m.standing, Standing::Up | Standing::Leaving)
-                && (!m.fenced || urgent)
-        };
-        let id = self.machines.values().find(|m| due(m))?.id.clone();
+    pub fn direct_commands(&mut self, now: Duration) -> Vec<Direct> {
+        let due: Vec<MachineId> = self
+            .machines
+            .values()
+            .filter(|m| !m.direct && now >= m.direct_retry)
+            .filter(|m| matches!(m.standing, Standing::Up | Standing::Leaving))
+            .filter(|m| {
+                m.heard_at
+                    .is_some_and(|at| now <= at + self.config.report * 2)
+            })
+            .filter(|m| !m.fenced || m.urgent())
+            .map(|m| m.id.clone())
+            .collect();
+        due.into_iter().filter_map(|id| self.direct(id)).collect()
+    }
+
+    fn direct(&mut self, id: MachineId) -> Option<Direct> {
+        let addr = self.machines[&id].addr?;
         let commands = self.commands(&id, None);
         let machine = self.machines.get_mut(&id)?;
         machine.direct = true;
         Some(Direct {
-            addr: machine.addr?,
+            addr,
             token: machine.token,
             session: machine.session,
             machine: id,
--- a/src/core/machine.rs
+++ b/src/core/machine.rs
@@ -324,6 +324,17 @@
         self.tasks.values().any(|p| !p.exited())
     }
 
+    /// A start that may go out, or a stop, waits to be sent.
+    pub fn urgent(&self) -> bool {
+        self.tasks
+            .iter()
+            .any(|((task, _), p)| match (p.phase, p.stop) {
+                (Phase::Decided, None) => self.fenced && self.entry.jobs.contains(&task.job),
+                (Phase::Seen(phase), Some(stop)) => !phase.exited() && !stop.sent,
+                _ => false,
+            })
+    }
+
     /// A start waits for its job to be listed in the roster.
     pub fn unlisted(&self) -> bool {
         self.tasks.iter().any(|((task, _), p)| {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -177,6 +177,8 @@
 const STATE_TIMEOUT: Duration = Duration::from_millis(1500);
 const WATCH_WAIT: Duration = Duration::from_secs(10);
 const BACK_OFF: Duration = Duration::from_millis(300);
+/// The least time between two rounds of what the leader does by itself.
+const ROUND: Duration = Duration::from_millis(20);
 /// Final states kept in memory, so that polls for them need no request.
 const FINALS_KEPT: usize = 4096;
 
@@ -316,14 +318,17 @@
             return;
         };
         leader.wall_ms = self.clock.wall_ms;
+        // What follows looks at every machine, and reports come by the hundred a
+        // second: it is done for all that came meanwhile.
+        if now < leader.next_round {
+            return;
+        }
+        leader.next_round = now + ROUND;
         leader.tick(now);
         if leader.queue.dirty && now >= leader.next_pass {
             leader.pass(now);
         }
-        let mut directs = Vec::new();
-        while let Some(direct) = leader.direct_commands(now) {
-            directs.push(direct);
-        }
+        let directs = leader.direct_commands(now);
         let cloud = leader.cloud_work(now);
         for direct in directs {
             self.next_call += 1;
--- a/src/core/sched.rs
+++ b/src/core/sched.rs
@@ -12,22 +12,68 @@
 use super::{
     job::{JobId, JobSpec, Kind, Priority, Resources, TaskId},
     leader::{Leader, Slot},
-    machine::{Machine, MachineId, Phase, Standing},
+    machine::{Machine, MachineId, Standing},
 };
 
 /// The least time between two passes.
 pub const PASS_EVERY: Duration = Duration::from_millis(60);
 
-/// A machine as one pass sees it.
+/// A machine as one pass sees it. A pass looks at every room for most jobs, so
+/// what rules a room out is kept at hand: most are ruled out by numbers alone.
 struct Room {
     id: MachineId,
+    size: Resources,
     free: Resources,
+    /// What tasks that are stopping will leave.
+    stopping: Resources,
+    /// What tasks that could be stopped hold, by priority.
+    kept: [Resources; Priority::ALL.len()],
     /// Held for parked tasks, by job.
     held: Vec<(Priority, JobId, Resources)>,
     /// Set aside as victims in this pass.
     victims: HashSet<(TaskId, u64)>,
 }
 
+impl Room {
+    fn new(machine: &Machine) -> Self {
+        let mut room = Self {
+            id: machine.id.clone(),
+            size: machine.size,
+            free: machine.size,
+            stopping: Resources::default(),
+            kept: Default::default(),
+            held: Vec::new(),
+            victims: HashSet::new(),
+        };
+        room.count(machine);
+        room
+    }
+
+    /// Takes in what the machine holds now.
+    fn count(&mut self, machine: &Machine) {
+        self.free = self.size;
+        self.stopping = Resources::default();
+        self.kept = Default::default();
+        for placement in machine.tasks.values().filter(|p| !p.exited()) {
+            self.free = self.free.minus(&placement.need);
+            if placement.stopping() {
+                self.stopping = self.stopping.plus(&placement.need);
+            } else if let Some(spec) = &placement.spec {
+                let kept = &mut self.kept[spec.priority as usize];
+                *kept = kept.plus(&placement.need);
+            }
+        }
+    }
+
+    /// The most that could be free for a task of this priority: everything that
+    /// is stopping, and whatever might be stopped for it.
+    fn most_free(&self, priority: Priority, reclaims: bool) -> Resources {
+        let below = priority as usize + usize::from(reclaims);
+        let most = self.free.plus(&self.stopping);
+        self.kept[..below].iter().fold(most, |sum, r| sum.plus(r))
+    }
+}
+
 struct View {
     rooms: Vec<Room>,
     /// What each team's tasks take, those that silent machines may hold included.
@@ -124,16 +170,13 @@
             .machines
             .values()
             .filter(|m| self.usable(m, now))
-            .map(|m| Room {
-                id: m.id.clone(),
-                free: m.free(),
-                held: Vec::new(),
-                victims: HashSet::new(),
-            })
+            .map(Room::new)
             .collect();
         for (id, job) in &self.jobs {
             for machine in &job.nominations {
-                if let Some(room) = rooms.iter_mut().find(|r| r.id == *machine) {
+                // Rooms are in the order of the machines' names.
+                if let Ok(at) = rooms.binary_search_by(|r| r.id.cmp(machine)) {
+                    let room = &mut rooms[at];
                     room.held
                         .push((job.spec.priority, id.clone(), job.spec.need));
                 }
@@ -163,7 +206,34 @@
         zones
     }
 
-    /// Places an array's or a service's tasks one by one.
+    /// Fills the best rooms for an array's tasks, the best one first. A task that
+    /// is placed changes the cost of its own room only, and makes that the better
+    /// one for the next: the rooms need to be compared but once.
+    fn fill_rooms(&mut self, view: &mut View, id: &JobId, spec: &Arc<JobSpec>, now: Duration) {
+        let mut costs: Vec<(f64, usize)> = (0..view.rooms.len())
+            .filter_map(|room| Some((self.cost(view, room, spec, now)?, room)))
+            .collect();
+        costs.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        for (_, room) in costs {
+            let machine = view.rooms[room].id.clone();
+            while self.fits(view, &view.rooms[room], spec, &view.rooms[room].free) {
+                let Some(index) = self.jobs.get_mut(id).and_then(|j| j.next_waiting()) else {
+                    return;
+                };
+                if self.over_limit(view, spec, 1) {
+                    return;
+                }
+                let attempt = self.next_attempt();
+                let task = TaskId {
+                    job: id.clone(),
+                    index,
+                };
+                self.put(view, room, &machine, task, attempt, now);
+            }
+        }
+    }
+
+    /// Places an array's or a service's tasks.
     fn place_tasks(
         &mut self,
         view: &mut View,
@@ -171,6 +241,9 @@
         spec: &Arc<JobSpec>,
         now: Duration,
     ) -> bool {
+        if spec.kind == Kind::Array {
+            self.fill_rooms(view, id, spec, now);
+        }
         while let Some(index) = self.jobs.get_mut(id).and_then(|j| j.next_waiting()) {
             if self.over_limit(view, spec, 1) {
                 return false;
@@ -200,13 +273,19 @@
         now: Duration,
     ) {
         let id = task.job.clone();
+        let held = self.jobs[&id].nominations.len();
         self.place(machine, task, attempt, now);
-        let spec = &self.jobs[&id].spec;
+        let job = &self.jobs[&id];
+        let spec = &job.spec;
         view.rooms[room].free = view.rooms[room].free.minus(&spec.need);
+        let kept = &mut view.rooms[room].kept[spec.priority as usize];
+        *kept = kept.plus(&spec.need);
         add(&mut view.usage, &spec.team, &spec.need);
         let zone = self.machines[machine].zone.clone();
         *view.zones.entry(zone).or_insert(0) += 1;
-        self.refresh_held(view, &id);
+        if job.nominations.len() != held {
+            self.refresh_held(view, &id);
+        }
     }
 
     /// The nominations of one job have changed.
@@ -243,54 +322,59 @@
     /// Both checks: with the nominated tasks of equal or higher priority taken
     /// as running, and again without them.
     fn fits(&self, view: &View, room: &Room, spec: &JobSpec, free: &Resources) -> bool {
+        if !spec.need.fits_in(free) {
+            return false;
+        }
         let mut left = *free;
         for (priority, job, need) in &room.held {
             if *priority >= spec.priority && *job != spec.id {
                 left = left.minus(need);
             }
         }
-        spec.need.fits_in(&left) && spec.need.fits_in(free) && self.allowed(view, room, spec)
+        spec.need.fits_in(&left) && self.allowed(view, room, spec)
     }
 
     fn best_fit(&self, view: &View, spec: &JobSpec, now: Duration) -> Option<usize> {
+        (0..view.rooms.len())
+            .filter_map(|room| Some((self.cost(view, room, spec, now)?, room)))
+            .min_by(|a, b| a.0.total_cmp(&b.0))
+            .map(|(_, room)| room)
+    }
+
+    /// How good a room is for a task that fits there; the lowest is the best.
+    fn cost(&self, view: &View, index: usize, spec: &JobSpec, now: Duration) -> Option<f64> {
+        let room = &view.rooms[index];
+        if !self.fits(view, room, spec, &room.free) {
+            return None;
+        }
         let job = self.jobs.get(&spec.id)?;
-        let mut best: Option<(f64, usize)> = None;
-        for (i, room) in view.rooms.iter().enumerate() {
-            if !self.fits(view, room, spec, &room.free) {
-                continue;
-            }
-            let machine = &self.machines[&room.id];
-            let mut cost = self.fetch_time(machine, spec);
-            let failures = machine
-                .failures
+        let machine = &self.machines[&room.id];
+        let mut cost = self.fetch_time(machine, spec);
+        let failures = machine
+            .failures
+            .iter()
+            .filter(|(_, at)| now < *at + Duration::from_secs(600))
+            .count();
+        cost += 20.0 * failures as f64;
+        if job.failed_on.contains(&machine.id) {
+            cost += 200.0;
+        }
+        // Replicas of a service are better off apart.
+        if spec.kind == Kind::Service {
+            let beside = machine
+                .tasks
                 .iter()
-                .filter(|(_, at)| now < *at + Duration::from_secs(600))
+                .filter(|((task, _), p)| task.job == spec.id && !p.exited())
                 .count();
-            cost += 20.0 * failures as f64;
-            if job.failed_on.contains(&machine.id) {
-                cost += 200.0;
-            }
-            // Replicas of a service are better off apart.
-            if spec.kind == Kind::Service {
-                let beside = machine
-                    .tasks
-                    .iter()
-                    .filter(|((task, _), p)| task.job == spec.id && !p.exited())
-                    .count();
-                let in_zone = view.zones.get(&machine.zone).copied().unwrap_or(0);
-                cost += 4.0 * beside as f64 + f64::from(in_zone);
-            }
-            // What may be taken back is left to those who may use it.
-            if spec.spot && !machine.spot {
-                cost += 1.0;
-            }
-            // Full machines first, so that empty ones can be returned.
-            cost += room.free.cpus / machine.size.cpus.max(1e-9);
-            if best.is_none_or(|(c, _)| cost < c) {
-                best = Some((cost, i));
-            }
+            let in_zone = view.zones.get(&machine.zone).copied().unwrap_or(0);
+            cost += 4.0 * beside as f64 + f64::from(in_zone);
+        }
+        // What may be taken back is left to those who may use it.
+        if spec.spot && !machine.spot {
+            cost += 1.0;
         }
-        best.map(|(_, i)| i)
+        // Full machines first, so that empty ones can be returned.
+        Some(cost + room.free.cpus / machine.size.cpus.max(1e-9))
     }
 
     /// About how long the image takes to arrive there.
@@ -350,8 +434,9 @@
     }
 
     fn best_plan(&self, view: &View, spec: &JobSpec) -> Option<Plan> {
+        let reclaims = self.within_guarantee(view, spec);
         (0..view.rooms.len())
-            .filter_map(|i| self.plan(view, i, spec))
+            .filter_map(|i| self.plan(view, i, spec, reclaims))
             .min_by(|a, b| {
                 // Among machines that are disrupted alike, the one with the image.
                 (a.breaches, a.highest, a.victims.len())
@@ -362,9 +447,10 @@
     }
 
     /// Sets aside every task that may make room, then restores those that can stay.
-    fn plan(&self, view: &View, index: usize, spec: &JobSpec) -> Option<Plan> {
+    fn plan(&self, view: &View, index: usize, spec: &JobSpec, reclaims: bool) -> Option<Plan> {
         let room = &view.rooms[index];
-        if !self.allowed(view, room, spec) {
+        let most = room.most_free(spec.priority, reclaims);
+        if !spec.need.fits_in(&most) || !self.allowed(view, room, spec) {
             return None;
         }
         let machine = &self.machines[&room.id];
@@ -384,19 +470,24 @@
                 free = free.plus(&p.need);
             } else if let Some(victim) = &p.spec
                 && victim.id != spec.id
+                && (victim.priority < spec.priority || reclaims)
             {
-                candidates.push((key.clone(), victim.clone(), p.since));
+                candidates.push((key, victim, p.since));
             }
         }
         // The newest first, so that a team loses those beyond its guarantee.
-        candidates.sort_by(|a, b| (b.2, &b.0).cmp(&(a.2, &a.0)));
-        let reclaims = self.within_guarantee(view, spec);
-        let mut leaving = view.leaving.clone();
+        candidates.sort_by(|a, b| (b.2, b.0).cmp(&(a.2, a.0)));
+        let mut leaving = match reclaims {
+            true => view.leaving.clone(),
+            false => HashMap::new(),
+        };
         candidates.retain(|(_, victim, _)| {
             let may = victim.priority < spec.priority
                 || (reclaims && self.may_reclaim(view, &leaving, spec, victim));
             if may {
-                add(&mut leaving, &victim.team, &victim.need);
+                if reclaims {
+                    add(&mut leaving, &victim.team, &victim.need);
+                }
                 free = free.plus(&victim.need);
             }
             may
@@ -409,11 +500,11 @@
         let mut budgeted: Vec<_> = candidates
             .into_iter()
             .map(|(key, victim, since)| {
-                let breaks = self.breaks_budget(&victim, &mut stopping);
+                let breaks = self.breaks_budget(victim, &mut stopping);
                 (breaks, victim.priority, Reverse(since), key, victim)
             })
             .collect();
-        budgeted.sort_by(|a, b| (b.0, b.1, b.2, &a.3).cmp(&(a.0, a.1, a.2, &b.3)));
+        budgeted.sort_by(|a, b| (b.0, b.1, b.2, a.3).cmp(&(a.0, a.1, a.2, b.3)));
         let mut plan = Plan {
             room: index,
             victims: Vec::new(),
@@ -431,7 +522,7 @@
             plan.breaches += usize::from(breaks);
             plan.highest = plan.highest.max(Some(priority));
             plan.freed = plan.freed.plus(&victim.need);
-            plan.victims.push(key);
+            plan.victims.push(key.clone());
         }
         Some(plan)
     }
@@ -498,16 +589,9 @@
             if let Some(victim) = self.jobs.get(&key.0.job).map(|j| j.spec.clone()) {
                 add(&mut view.leaving, &victim.team, &victim.need);
             }
-            let decided = self.machines[&machine]
-                .tasks
-                .get(key)
-                .is_some_and(|p| p.phase == Phase::Decided);
             self.stop(&machine, key, grace, now);
-            if decided {
-                let freed = self.machines[&machine].free();
-                view.rooms[plan.room].free = freed;
-            }
         }
+        view.rooms[plan.room].count(&self.machines[&machine]);
         self.jobs
             .get_mut(id)
             .expect("job at hand")
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -537,12 +537,16 @@
     let job = c.job(spec(1, Kind::Array, Priority::Normal, 1, 4.0));
     c.pass();
     assert!(
-        c.leader.direct_commands(c.now).is_none(),
+        c.leader.direct_commands(c.now).is_empty(),
         "its job is not listed yet"
     );
     let machine = c.leader.machines.get_mut("vm-1").expect("a machine");
     machine.entry.jobs.insert(job.clone());
-    let direct = c.leader.direct_commands(c.now).expect("a start to send");
+    let direct = c
+        .leader
+        .direct_commands(c.now)
+        .pop()
+        .expect("a start to send");
     assert_eq!(direct.commands.len(), 1);
     c.leader.direct_reply(&direct, DirectReply::Unclear, c.now);
     c.report("vm-1");
