--- a/src/core/config.rs
+++ b/src/core/config.rs
@@ -47,6 +47,8 @@
     /// Changes a second that the leader may use beside what users cause.
     pub leader_writes: f64,
     pub txn_ops: usize,
+    /// Bytes that a stored value may have.
+    pub value_most: usize,
     pub cloud_every: Duration,
     pub list_lag: Duration,
     pub options: Options,
@@ -85,6 +87,7 @@
             sync_every: seconds(3.0 * nodes as f64 / params.state.rps),
             leader_writes: params.state.write_rps * 0.75,
             txn_ops: params.state.txn_ops,
+            value_most: (params.state.value_kb * 1024.0) as usize,
             // Nearly all calls are the leader's; the rest is for lists of types.
             cloud_every: seconds(1.25 / params.cloud.rps),
             list_lag: seconds(params.cloud.list_lag_s),
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -131,7 +131,7 @@
             .values()
             .filter(|m| m.standing == Standing::Leaving && m.tasks.is_empty() && !m.unresolved)
             // Off the roster first: a next leader need not wait for it then.
-            .filter(|m| m.entry.version == 0 && !m.entry.writing)
+            .filter(|m| !m.entry.stored)
             .filter(|m| !self.fleet.releasing.contains(&m.id))
             .map(|m| m.id.clone())
             .take(100)
--- a/src/core/lead.rs
+++ b/src/core/lead.rs
@@ -12,8 +12,8 @@
     BACK_OFF, Node, Purpose,
     job::{JobId, TaskSet},
     leader::{Found, Leader},
-    machine::{MachineId, RosterRecord},
     mirror::LeaderRecord,
+    roster::ShardRecord,
     store::{LEADER, LIVE, PROGRESS, ROSTER, StateReply, StateRequest, put_leased, when},
 };
 
@@ -48,9 +48,9 @@
     started: bool,
     synced: bool,
     progress: Option<BTreeMap<JobId, TaskSet>>,
-    roster: Option<Vec<(MachineId, RosterRecord, u64)>>,
+    roster: Option<Vec<(u32, ShardRecord, u64)>>,
     progress_so_far: BTreeMap<JobId, TaskSet>,
-    roster_so_far: Vec<(MachineId, RosterRecord, u64)>,
+    roster_so_far: Vec<(u32, ShardRecord, u64)>,
     retry: Duration,
     in_flight: u32,
 }
@@ -321,12 +321,11 @@
         for entry in &entries {
             match loading {
                 Loading::Roster { .. } => {
-                    if let Some(id) = entry.key.strip_prefix(ROSTER)
+                    if let Some(shard) = entry.key.strip_prefix(ROSTER)
+                        && let Ok(shard) = shard.parse()
                         && let Ok(record) = serde_json::from_str(entry.value.get())
                     {
-                        taking
-                            .roster_so_far
-                            .push((id.into(), record, entry.version));
+                        taking.roster_so_far.push((shard, record, entry.version));
                     }
                 }
                 _ => {
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -13,11 +13,12 @@
     fleet::Fleet,
     job::{JobId, JobSpec, Kind, TaskId, TaskSet},
     machine::{
-        Command, DirectReply, Machine, MachineId, MachineType, Phase, Placement, RosterRecord,
-        Standing, Stop, TaskPhase, Why, WorkerReport,
+        Command, DirectReply, Machine, MachineId, MachineType, Phase, Placement, Standing, Stop,
+        TaskPhase, Why, WorkerReport,
     },
     mirror::LiveJob,
     queue::Queue,
+    roster::{Roster, ShardRecord},
     store::progress_key,
 };
 
@@ -133,8 +134,7 @@
     pub wall_ms: u64,
     /// How far run times of a class are from their estimates, as a logarithm.
     pub seen: HashMap<Arc<str>, f64>,
-    /// Machines that are gone, to be taken off the stored roster.
-    pub departed: Vec<MachineId>,
+    pub roster: Roster,
     /// Stored results of jobs that are over.
     pub garbage: Vec<String>,
 }
@@ -143,7 +143,8 @@
 pub struct Found<'a> {
     pub jobs: &'a BTreeMap<JobId, LiveJob>,
     pub progress: BTreeMap<JobId, TaskSet>,
-    pub roster: Vec<(MachineId, RosterRecord, u64)>,
+    /// The roster's shards, each with its number and revision.
+    pub roster: Vec<(u32, ShardRecord, u64)>,
     /// By then every lease that a former leader kept alive is over.
     pub resolve_by: Duration,
 }
@@ -197,23 +198,13 @@
             next_log: Duration::ZERO,
             wall_ms: 0,
             seen: HashMap::new(),
-            departed: Vec::new(),
+            roster: Roster::new(config.value_most),
             garbage: Vec::new(),
             types,
             config,
         };
-        for (id, record, version) in roster {
-            let mut machine = leader.machine(
-                id.clone(),
-                record.machine_type,
-                record.zone,
-                record.spot,
-                now,
-            );
-            machine.entry.version = version;
-            machine.entry.jobs = record.jobs;
-            machine.unresolved = true;
-            leader.machines.insert(id, machine);
+        for (shard, record, version) in roster {
+            leader.enroll(shard, &record, version, now);
         }
         for (id, job) in live {
             let done = progress.remove(id).unwrap_or_default();
@@ -311,10 +302,8 @@
     /// The machine was returned, with all that was on it.
     pub fn machine_gone(&mut self, id: &MachineId, now: Duration) {
         self.session_over(id, now);
-        if let Some(machine) = self.machines.remove(id)
-            && machine.entry.version > 0
-        {
-            self.departed.push(id.clone());
+        if let Some(machine) = self.machines.remove(id) {
+            self.roster.gone(&machine);
         }
     }
 
--- a/src/core/machine.rs
+++ b/src/core/machine.rs
@@ -1,15 +1,13 @@
 //! Machines, what runs on them, and what their workers say and are told.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
-use super::job::{JobId, JobSpec, Resources, TaskId};
+use super::{
+    job::{JobId, JobSpec, Resources, TaskId},
+    roster::RosterEntry,
+};
 
 pub type MachineId = Arc<str>;
 
@@ -128,17 +126,6 @@
     },
 }
 
-/// What is stored of a machine before any start on it.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct RosterRecord {
-    pub machine_type: Arc<str>,
-    pub zone: Arc<str>,
-    pub spot: bool,
-    /// Jobs that may have tasks there.
-    #[serde(default)]
-    pub jobs: BTreeSet<JobId>,
-}
-
 /// How far a start command has come.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Phase {
@@ -213,21 +200,6 @@
     Leaving,
 }
 
-/// What is known of a machine's entry in the stored roster. A start is sent only
-/// for a job that is listed there, so that a next leader knows which jobs a
-/// silent machine may hold.
-#[derive(Debug, Clone, Default)]
-pub struct RosterEntry {
-    /// Revision of the entry; 0: there is none.
-    pub version: u64,
-    /// Jobs that are listed for certain.
-    pub jobs: BTreeSet<JobId>,
-    /// A write is under way.
-    pub writing: bool,
-    /// A write was not answered, so the entry is read before the next one.
-    pub unsure: bool,
-}
-
 /// One machine as the leader sees it.
 #[derive(Debug, Clone)]
 pub struct Machine {
@@ -253,7 +225,7 @@
     pub dead_session: u64,
     /// The worker has been seen to know this leader's token.
     pub fenced: bool,
-    /// Its entry in the stored roster.
+    /// Its place in the stored roster.
     pub entry: RosterEntry,
     /// May hold tasks that a former leader started.
     pub unresolved: bool,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -12,6 +12,7 @@
 pub mod order;
 pub mod queue;
 pub mod relay;
+pub mod roster;
 pub mod saves;
 pub mod sched;
 pub mod store;
--- /dev/null
+++ b/src/core/roster.rs
@@ -0,0 +1,412 @@
+//! The roster in the state service: which jobs may have tasks on which machine.
+//!
+//! A start is sent only for a job that is listed with its machine, so that a next
+//! leader knows which jobs a silent machine may hold. One stored value, a shard,
+//! speaks for many machines: changes are what the state service counts, and a
+//! large array lands on every machine within moments.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    sync::Arc,
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+
+use super::{
+    job::JobId,
+    leader::Leader,
+    machine::{Machine, MachineId, Standing},
+    store::{Change, Condition, StateReply, delete, put, shard_key, when},
+};
+
+/// What one key of the roster holds. Types, zones and jobs are named once, and
+/// machines refer to them by number.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct ShardRecord {
+    kinds: Vec<Kind>,
+    jobs: Vec<JobId>,
+    machines: Vec<(MachineId, usize, Vec<usize>)>,
+}
+
+/// Machine type, zone, and whether it is a spot machine.
+type Kind = (Arc<str>, Arc<str>, bool);
+
+/// A machine in the roster.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Enrolled {
+    pub id: MachineId,
+    pub machine_type: Arc<str>,
+    pub zone: Arc<str>,
+    pub spot: bool,
+    pub jobs: BTreeSet<JobId>,
+}
+
+impl ShardRecord {
+    pub fn machines(&self) -> impl Iterator<Item = Enrolled> + '_ {
+        self.machines.iter().filter_map(|(id, kind, jobs)| {
+            let (machine_type, zone, spot) = self.kinds.get(*kind)?.clone();
+            let jobs = jobs.iter().filter_map(|job| self.jobs.get(*job).cloned());
+            Some(Enrolled {
+                id: id.clone(),
+                machine_type,
+                zone,
+                spot,
+                jobs: jobs.collect(),
+            })
+        })
+    }
+}
+
+/// What is known of a machine's place in the stored roster.
+#[derive(Debug, Clone, Default)]
+pub struct RosterEntry {
+    shard: Option<u32>,
+    /// Jobs that are listed for certain.
+    pub jobs: BTreeSet<JobId>,
+    /// Something may be listed.
+    pub stored: bool,
+}
+
+#[derive(Debug, Default)]
+struct Shard {
+    /// Revision of the key; 0: there is none.
+    version: u64,
+    /// A write is under way.
+    writing: bool,
+    /// A write was not answered, so the key is read before the next one.
+    unsure: bool,
+    members: BTreeSet<MachineId>,
+    /// A machine that is gone is still listed.
+    stale: bool,
+}
+
+#[derive(Debug)]
+pub struct Roster {
+    shards: BTreeMap<u32, Shard>,
+    /// Bytes that a value may have.
+    value_most: usize,
+}
+
+/// A write of one shard, and what it lists.
+#[derive(Debug)]
+pub struct Listing {
+    shard: u32,
+    machines: Vec<(MachineId, BTreeSet<JobId>)>,
+    empty: bool,
+}
+
+/// A record under way, and the bytes that it takes at most.
+struct Builder {
+    record: ShardRecord,
+    kinds: HashMap<Kind, usize>,
+    jobs: HashMap<JobId, usize>,
+    places: HashMap<MachineId, usize>,
+    bytes: usize,
+}
+
+/// Digits, quotes, brackets and commas around a number or a name.
+const NUMBER: usize = 7;
+const NAME: usize = 4;
+/// What a machine is expected to take, alone and for each of its CPUs.
+const SHARE: usize = 32;
+const SHARE_PER_CPU: f64 = 8.0;
+
+impl Builder {
+    fn new() -> Self {
+        Self {
+            record: ShardRecord::default(),
+            kinds: HashMap::new(),
+            jobs: HashMap::new(),
+            places: HashMap::new(),
+            bytes: 64,
+        }
+    }
+
+    /// Lists a job with a machine, unless that would make the value larger than
+    /// `most`.
+    fn list(&mut self, machine: &Machine, job: &JobId, most: usize) -> bool {
+        let kind = (
+            machine.machine_type.clone(),
+            machine.zone.clone(),
+            machine.spot,
+        );
+        let mut bytes = NUMBER;
+        if !self.jobs.contains_key(job) {
+            bytes += job.as_str().len() + NAME;
+        }
+        if !self.kinds.contains_key(&kind) {
+            bytes += kind.0.len() + kind.1.len() + 3 * NAME;
+        }
+        if !self.places.contains_key(&machine.id) {
+            bytes += machine.id.len() + NAME + 2 * NUMBER;
+        }
+        if self.bytes + bytes > most {
+            return false;
+        }
+        self.bytes += bytes;
+        let record = &mut self.record;
+        let kind = *self.kinds.entry(kind).or_insert_with_key(|kind| {
+            record.kinds.push(kind.clone());
+            record.kinds.len() - 1
+        });
+        let job = *self.jobs.entry(job.clone()).or_insert_with_key(|job| {
+            record.jobs.push(job.clone());
+            record.jobs.len() - 1
+        });
+        let id = &machine.id;
+        let place = *self.places.entry(id.clone()).or_insert_with(|| {
+            record.machines.push((id.clone(), kind, Vec::new()));
+            record.machines.len() - 1
+        });
+        record.machines[place].2.push(job);
+        true
+    }
+}
+
+impl Roster {
+    pub fn new(value_most: usize) -> Self {
+        Self {
+            shards: BTreeMap::new(),
+            value_most,
+        }
+    }
+
+    /// The machine does not exist any more.
+    pub fn gone(&mut self, machine: &Machine) {
+        if let Some(shard) = machine.entry.shard.and_then(|s| self.shards.get_mut(&s)) {
+            shard.members.remove(&machine.id);
+            shard.stale |= machine.entry.stored;
+        }
+    }
+
+    /// A shard whose write was not answered, to be read again.
+    pub fn unsure(&mut self) -> Option<u32> {
+        let mut shards = self.shards.iter_mut();
+        let (id, shard) = shards.find(|(_, s)| s.unsure && !s.writing)?;
+        shard.writing = true;
+        Some(*id)
+    }
+
+    /// The revision that a shard was read to have; none where it was not read.
+    pub fn reread(&mut self, shard: u32, version: Option<u64>) {
+        let Some(shard) = self.shards.get_mut(&shard) else {
+            return;
+        };
+        shard.writing = false;
+        if let Some(version) = version {
+            // A write that is applied late fails once the next one is in.
+            shard.unsure = false;
+            shard.version = version;
+        }
+    }
+
+    /// The shard for one more machine: the emptiest that has room left.
+    fn shard_for(&mut self, machines: &BTreeMap<MachineId, Machine>, machine: &Machine) -> u32 {
+        let share = |m: &Machine| SHARE + (m.size.cpus.max(0.0) * SHARE_PER_CPU) as usize;
+        let room = self.value_most / 4 * 3;
+        let chosen = self
+            .shards
+            .iter()
+            .map(|(id, shard)| {
+                let members = shard.members.iter().filter_map(|id| machines.get(id));
+                (members.map(share).sum::<usize>(), *id)
+            })
+            .filter(|(taken, _)| taken + share(machine) <= room)
+            .min();
+        let id = match chosen {
+            Some((_, id)) => id,
+            None => (0..).find(|id| !self.shards.contains_key(id)).unwrap_or(0),
+        };
+        let shard = self.shards.entry(id).or_default();
+        shard.members.insert(machine.id.clone());
+        id
+    }
+}
+
+impl Leader {
+    /// What a take-over found in one shard.
+    pub fn enroll(&mut self, id: u32, record: &ShardRecord, version: u64, now: Duration) {
+        let mut shard = Shard {
+            version,
+            ..Shard::default()
+        };
+        for found in record.machines() {
+            let Enrolled {
+                id: name,
+                machine_type,
+                zone,
+                spot,
+                jobs,
+            } = found;
+            let machine = self.meet(&name, &machine_type, &zone, spot, now);
+            machine.unresolved = true;
+            machine.entry = RosterEntry {
+                shard: Some(id),
+                jobs,
+                stored: true,
+            };
+            shard.members.insert(name);
+        }
+        self.roster.shards.insert(id, shard);
+    }
+
+    /// The next write of the roster. An urgent one lists jobs whose starts wait
+    /// for it, any other only strikes off what is there no more.
+    pub fn roster_write(
+        &mut self,
+        urgent: bool,
+        changes_most: usize,
+    ) -> Option<(Vec<Listing>, Vec<Condition>, Vec<Change>)> {
+        let due = self.due_shards(urgent);
+        let (mut listings, mut conditions, mut changes) = (Vec::new(), Vec::new(), Vec::new());
+        // Two values of full size leave room in one transaction for the rest.
+        for id in due.into_iter().take(changes_most.min(2)) {
+            let (listing, record) = self.list_shard(id);
+            let shard = self.roster.shards.get_mut(&id)?;
+            shard.stale = false;
+            if listing.empty && shard.version == 0 {
+                continue;
+            }
+            shard.writing = true;
+            let key = shard_key(id);
+            conditions.push(when(&key, shard.version));
+            changes.push(match listing.empty {
+                true => delete(key),
+                false => put(key, &record),
+            });
+            for (machine, jobs) in &listing.machines {
+                if let Some(machine) = self.machines.get_mut(machine) {
+                    // Until the answer only what is listed before and after counts:
+                    // a start for a job that this write drops must not go out.
+                    machine.entry.jobs.retain(|id| jobs.contains(id));
+                    machine.entry.stored |= !jobs.is_empty();
+                }
+            }
+            listings.push(listing);
+        }
+        (!listings.is_empty()).then_some((listings, conditions, changes))
+    }
+
+    /// Shards that have to be written.
+    fn due_shards(&mut self, urgent: bool) -> BTreeSet<u32> {
+        let mut due = BTreeSet::new();
+        let wanting: Vec<MachineId> = self
+            .machines
+            .values()
+            .filter(|m| match urgent {
+                true => m.standing == Standing::Up && m.fenced && m.unlisted(),
+                // They get no more tasks, and a next leader need not wait for them.
+                false => {
+                    matches!(m.standing, Standing::Leaving | Standing::Lost)
+                        && m.entry.stored
+                        && m.tasks.is_empty()
+                        && !m.unresolved
+                }
+            })
+            .map(|m| m.id.clone())
+            .collect();
+        for id in wanting {
+            let machine = &self.machines[&id];
+            let shard = match machine.entry.shard {
+                Some(shard) => shard,
+                None => self.roster.shard_for(&self.machines, machine),
+            };
+            let machine = self.machines.get_mut(&id).expect("just seen");
+            machine.entry.shard = Some(shard);
+            due.insert(shard);
+        }
+        if !urgent {
+            let stale = self.roster.shards.iter().filter(|(_, s)| s.stale);
+            due.extend(stale.map(|(id, _)| *id));
+        }
+        due.retain(|id| {
+            let shard = self.roster.shards.get(id);
+            shard.is_some_and(|s| !s.writing && !s.unsure)
+        });
+        due
+    }
+
+    /// What a shard is to say now.
+    fn list_shard(&self, id: u32) -> (Listing, ShardRecord) {
+        let mut builder = Builder::new();
+        let members: Vec<&Machine> = self.roster.shards[&id]
+            .members
+            .iter()
+            .filter_map(|name| self.machines.get(name))
+            .filter(|m| m.entry.shard == Some(id))
+            .collect();
+        let mut machines: Vec<(MachineId, BTreeSet<JobId>)> = Vec::new();
+        let mut new: Vec<(usize, JobId)> = Vec::new();
+        for machine in &members {
+            let mut jobs = BTreeSet::new();
+            for job in Self::may_hold(machine) {
+                // What is listed already may run there: it stays, come what may.
+                if machine.entry.jobs.contains(&job) {
+                    builder.list(machine, &job, usize::MAX);
+                    jobs.insert(job);
+                } else {
+                    new.push((machines.len(), job));
+                }
+            }
+            machines.push((machine.id.clone(), jobs));
+        }
+        // One that finds no room any more waits until others are struck off.
+        for (place, job) in new {
+            if builder.list(members[place], &job, self.roster.value_most) {
+                machines[place].1.insert(job);
+            }
+        }
+        let listing = Listing {
+            shard: id,
+            machines,
+            empty: builder.record.machines.is_empty(),
+        };
+        (listing, builder.record)
+    }
+
+    /// Jobs that may have tasks on a machine, or are about to; those that are over
+    /// too, as long as a start of theirs may still be executed late.
+    fn may_hold(machine: &Machine) -> BTreeSet<JobId> {
+        let mut jobs: BTreeSet<JobId> = machine.tasks.keys().map(|(t, _)| t.job.clone()).collect();
+        if machine.unresolved {
+            // Its tasks are not known yet; the former leader's list stands.
+            jobs.extend(machine.entry.jobs.iter().cloned());
+        }
+        jobs
+    }
+
+    pub fn roster_written(&mut self, listings: Vec<Listing>, reply: &StateReply) {
+        for listing in listings {
+            let Some(shard) = self.roster.shards.get_mut(&listing.shard) else {
+                continue;
+            };
+            shard.writing = false;
+            let revision = match reply {
+                StateReply::Committed { revision } => *revision,
+                // It changed nothing and never will.
+                StateReply::Refused { .. } => {
+                    shard.stale = true;
+                    continue;
+                }
+                // It may have been executed, or may be later.
+                _ => {
+                    shard.unsure = true;
+                    shard.stale = true;
+                    continue;
+                }
+            };
+            shard.version = if listing.empty { 0 } else { revision };
+            for (id, jobs) in listing.machines {
+                match self.machines.get_mut(&id) {
+                    // One that came back after it was gone is no member any more.
+                    Some(machine) if machine.entry.shard == Some(listing.shard) => {
+                        machine.entry.stored = !jobs.is_empty();
+                        machine.entry.jobs = jobs;
+                    }
+                    _ => shard.stale |= !jobs.is_empty(),
+                }
+            }
+        }
+    }
+}
--- a/src/core/saves.rs
+++ b/src/core/saves.rs
@@ -1,7 +1,7 @@
 //! What the leader writes: the roster, results, and ends of jobs. Every write
 //! depends on its claim, so one that is applied late changes nothing.
 
-use std::{collections::BTreeSet, time::Duration};
+use std::time::Duration;
 
 use tracing::info;
 
@@ -9,27 +9,23 @@
     BACK_OFF, Node, Purpose,
     config::Config,
     job::{FinalRecord, JobId, JobState, TaskSet},
-    machine::{MachineId, RosterRecord, Standing},
+    roster::Listing,
     store::{
-        Change, LEADER, StateReply, StateRequest, delete, final_key, job_key, machine_key,
-        progress_key, put, when,
+        Change, LEADER, StateReply, StateRequest, delete, final_key, job_key, progress_key, put,
+        shard_key, when,
     },
 };
 
 #[derive(Debug)]
 pub enum Save {
-    Enroll {
+    Roster {
         claim: u64,
-        machines: Vec<(MachineId, BTreeSet<JobId>)>,
+        listings: Vec<Listing>,
     },
-    /// Reads an entry again whose write was not answered.
+    /// Reads a shard of the roster again whose write was not answered.
     Reread {
         claim: u64,
-        machine: MachineId,
-    },
-    Strike {
-        claim: u64,
-        machines: Vec<MachineId>,
+        shard: u32,
     },
     Progress {
         claim: u64,
@@ -94,7 +90,7 @@
                 return;
             }
             let Some(claim) = self.claim() else { return };
-            if self.reread_entry(claim) {
+            if self.reread_shard(claim) {
                 continue;
             }
             let Some((save, mut conditions, changes)) = self.next_save(now) else {
@@ -113,18 +109,13 @@
         }
     }
 
-    /// Reads one roster entry again whose write was not answered.
-    fn reread_entry(&mut self, claim: u64) -> bool {
-        let unsure = self.leader.as_mut().and_then(|leader| {
-            let mut machines = leader.machines.values_mut();
-            machines.find(|m| m.entry.unsure && !m.entry.writing)
-        });
-        let Some(machine) = unsure else { return false };
-        machine.entry.writing = true;
-        let key = machine_key(&machine.id);
-        let machine = machine.id.clone();
+    /// Reads one shard of the roster again whose write was not answered.
+    fn reread_shard(&mut self, claim: u64) -> bool {
+        let unsure = self.leader.as_mut().and_then(|l| l.roster.unsure());
+        let Some(shard) = unsure else { return false };
+        let key = shard_key(shard);
         self.saves.in_flight += 1;
-        let save = Purpose::Save(Save::Reread { claim, machine });
+        let save = Purpose::Save(Save::Reread { claim, shard });
         self.call(save, StateRequest::Get { key });
         true
     }
@@ -174,33 +165,8 @@
         }
 
         // Starts wait for their job to be listed with their machine.
-        let new: Vec<MachineId> = leader
-            .machines
-            .values()
-            .filter(|m| m.standing == Standing::Up && m.fenced && !m.entry.writing)
-            .filter(|m| !m.entry.unsure && (m.entry.version == 0 || m.unlisted()))
-            .map(|m| m.id.clone())
-            .take(most)
-            .collect();
-        if !new.is_empty() {
-            let (mut changes, mut conditions, mut machines) = (Vec::new(), Vec::new(), Vec::new());
-            for id in new {
-                let machine = leader.machines.get_mut(&id)?;
-                machine.entry.writing = true;
-                let record = RosterRecord {
-                    machine_type: machine.machine_type.clone(),
-                    zone: machine.zone.clone(),
-                    spot: machine.spot,
-                    jobs: machine.tasks.keys().map(|(t, _)| t.job.clone()).collect(),
-                };
-                conditions.push(when(machine_key(&id), machine.entry.version));
-                changes.push(put(machine_key(&id), &record));
-                // Until the answer only what is listed before and after counts:
-                // a start for a job that this write drops must not go out.
-                machine.entry.jobs.retain(|id| record.jobs.contains(id));
-                machines.push((id, record.jobs));
-            }
-            return Some((Save::Enroll { claim, machines }, conditions, changes));
+        if let Some((listings, conditions, changes)) = leader.roster_write(true, most) {
+            return Some((Save::Roster { claim, listings }, conditions, changes));
         }
 
         let unsaved = leader
@@ -224,32 +190,8 @@
             return Some((Save::Progress { claim, id, set }, conditions, changes));
         }
 
-        // Machines that are to be returned get no more tasks, and lost ones are
-        // proven empty: a next leader need not wait for them. Those that are gone
-        // are struck with them.
-        let mut machines: Vec<MachineId> = leader
-            .machines
-            .values()
-            .filter(|m| matches!(m.standing, Standing::Leaving | Standing::Lost))
-            .filter(|m| m.tasks.is_empty() && !m.unresolved)
-            .filter(|m| m.entry.version > 0 && !m.entry.writing && !m.entry.unsure)
-            .map(|m| m.id.clone())
-            .take(most)
-            .collect();
-        let mut conditions = Vec::new();
-        for id in &machines {
-            let entry = &mut leader.machines.get_mut(id)?.entry;
-            entry.writing = true;
-            entry.jobs.clear();
-            // A lost machine may come back: a late strike must not undo its new entry.
-            conditions.push(when(machine_key(id), entry.version));
-        }
-        let count = leader.departed.len().min(most - machines.len());
-        machines.extend(leader.departed.drain(..count));
-        if !machines.is_empty() {
-            let changes = machines.iter().map(|id| delete(machine_key(id)));
-            let changes = changes.collect();
-            return Some((Save::Strike { claim, machines }, conditions, changes));
+        if let Some((listings, conditions, changes)) = leader.roster_write(false, most) {
+            return Some((Save::Roster { claim, listings }, conditions, changes));
         }
         // Removing what is left over waits until there is plenty of room.
         if !leader.garbage.is_empty() && self.saves.allowance > self.saves.rate / 2.0 {
@@ -276,8 +218,7 @@
             }
         }
         let claim = match &save {
-            Save::Enroll { claim, .. }
-            | Save::Strike { claim, .. }
+            Save::Roster { claim, .. }
             | Save::Reread { claim, .. }
             | Save::Progress { claim, .. }
             | Save::Finish { claim, .. }
@@ -288,57 +229,14 @@
         };
         self.saves.in_flight = self.saves.in_flight.saturating_sub(1);
         match save {
-            Save::Enroll { machines, .. } => {
-                for (id, jobs) in machines {
-                    let Some(machine) = leader.machines.get_mut(&id) else {
-                        if committed {
-                            leader.departed.push(id);
-                        }
-                        continue;
-                    };
-                    let entry = &mut machine.entry;
-                    entry.writing = false;
-                    match reply {
-                        StateReply::Committed { revision } => {
-                            entry.version = revision;
-                            entry.jobs = jobs;
-                        }
-                        // It changed nothing and never will.
-                        StateReply::Refused { .. } => {}
-                        // It may have been executed, or may be later.
-                        _ => entry.unsure = true,
-                    }
-                }
-            }
-            Save::Reread { machine, .. } => {
-                let Some(machine) = leader.machines.get_mut(&machine) else {
-                    return;
-                };
-                machine.entry.writing = false;
+            Save::Roster { listings, .. } => leader.roster_written(listings, &reply),
+            Save::Reread { shard, .. } => {
                 let version = match &reply {
-                    StateReply::Entry(entry) => entry.version,
-                    StateReply::Missing => 0,
-                    _ => return,
+                    StateReply::Entry(entry) => Some(entry.version),
+                    StateReply::Missing => Some(0),
+                    _ => None,
                 };
-                // A write that is applied late fails once the next one is in.
-                machine.entry.unsure = false;
-                machine.entry.version = version;
-            }
-            Save::Strike { machines, .. } => {
-                for id in machines {
-                    match leader.machines.get_mut(&id) {
-                        Some(machine) => {
-                            machine.entry.writing = false;
-                            match reply {
-                                StateReply::Committed { .. } => machine.entry.version = 0,
-                                StateReply::Refused { .. } => {}
-                                _ => machine.entry.unsure = true,
-                            }
-                        }
-                        None if !committed => leader.departed.push(id),
-                        None => {}
-                    }
-                }
+                leader.roster.reread(shard, version);
             }
             Save::Progress { id, set, .. } => {
                 if let Some(job) = leader.jobs.get_mut(&id) {
--- a/src/core/sched.rs
+++ b/src/core/sched.rs
@@ -165,6 +165,18 @@
                 let sum = Resources::default().plus_times(&job.spec.need, f64::from(hidden));
                 add(&mut usage, &job.spec.team, &sum);
             }
+            // A job that was cancelled meanwhile may still run there, and whose it
+            // was nobody knows any more: the machine counts for each team.
+            if machine
+                .entry
+                .jobs
+                .iter()
+                .any(|id| !self.jobs.contains_key(id))
+            {
+                for team in self.config.teams.keys() {
+                    add(&mut usage, team, &machine.size);
+                }
+            }
         }
         let mut rooms: Vec<Room> = self
             .machines
--- a/src/core/store.rs
+++ b/src/core/store.rs
@@ -14,7 +14,7 @@
 pub const JOBS: &str = "live/job/";
 pub const FINALS: &str = "final/";
 pub const PROGRESS: &str = "progress/";
-pub const ROSTER: &str = "machine/";
+pub const ROSTER: &str = "roster/";
 
 pub fn job_key(id: &JobId) -> String {
     format!("{JOBS}{id}")
@@ -28,8 +28,8 @@
     format!("{PROGRESS}{id}/{chunk}")
 }
 
-pub fn machine_key(id: &str) -> String {
-    format!("{ROSTER}{id}")
+pub fn shard_key(shard: u32) -> String {
+    format!("{ROSTER}{shard}")
 }
 
 #[derive(Debug, Clone, PartialEq)]
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -14,6 +14,7 @@
         leader::{Found, Leader, Slot},
         machine::{Command, MachineType, ReportedTask, TaskPhase, Why, WorkerReport},
         mirror::LiveJob,
+        roster::ShardRecord,
     },
     settings::Settings,
 };
@@ -43,6 +44,14 @@
 
 impl Cluster {
     fn new(cpus: f64) -> Self {
+        Self::after_a_take_over(cpus, Vec::new(), Duration::ZERO)
+    }
+
+    fn after_a_take_over(
+        cpus: f64,
+        roster: Vec<(u32, ShardRecord, u64)>,
+        resolve_by: Duration,
+    ) -> Self {
         let settings = Settings::parse(SETTINGS).expect("good settings");
         let config = Config::new(&settings, Options::default());
         let types = vec![MachineType {
@@ -58,8 +67,8 @@
         let found = Found {
             jobs: &BTreeMap::new(),
             progress: BTreeMap::new(),
-            roster: Vec::new(),
-            resolve_by: Duration::ZERO,
+            roster,
+            resolve_by,
         };
         let now = Duration::from_secs(100);
         Self {
@@ -571,3 +580,63 @@
     c.leader.report(&report, c.now);
     assert!(c.on(&job).is_empty());
 }
+
+/// Tasks of a job that was cancelled during a take-over still use up their team's
+/// limit while their machine is silent, though nobody knows any more whose they are.
+#[test]
+fn a_cancelled_job_on_a_silent_machine_counts_against_the_limit() {
+    let shard = serde_json::json!({
+        "kinds": [["m", "a", false]], "jobs": ["run-000001"], "machines": [["vm-1", 0, [0]]]
+    });
+    let shard = serde_json::from_value(shard).expect("a shard of the roster");
+    let resolve_by = Duration::from_secs(105);
+    let mut c = Cluster::after_a_take_over(600.0, vec![(0, shard, 3)], resolve_by);
+    c.machine("vm-2");
+    let job = c.job(spec(2, Kind::Array, Priority::Normal, 1, 500.0));
+    c.pass();
+    assert!(
+        c.on(&job).is_empty(),
+        "red may hold 600 of its 1000 on vm-1"
+    );
+    c.now = resolve_by + Duration::from_millis(1);
+    c.leader.tick(c.now);
+    c.report("vm-2");
+    c.pass();
+    assert_eq!(c.on(&job), ["vm-2"]);
+}
+
+/// A shard of the roster names many machines in one value, and never more than a
+/// value may hold: what finds no room is not started until there is some.
+#[test]
+fn a_full_shard_delays_starts_and_drops_nothing_that_is_listed() {
+    use kiteyard::core::store::{Change, StateReply};
+    let mut c = Cluster::new(400.0);
+    for i in 0..4 {
+        c.machine(&format!("vm-{i}"));
+    }
+    let (mut revision, mut listed) = (10, BTreeSet::new());
+    for number in 0..1600 {
+        c.job(spec(number, Kind::Array, Priority::Normal, 1, 0.5));
+        c.pass();
+        let Some((listings, _, changes)) = c.leader.roster_write(true, 16) else {
+            continue;
+        };
+        for change in &changes {
+            let Change::Put { value, .. } = change else {
+                panic!("nothing is struck");
+            };
+            assert!(value.get().len() <= 16 * 1024, "a value is too large");
+            let record: ShardRecord = serde_json::from_str(value.get()).expect("a shard");
+            let now: BTreeSet<JobId> = record.machines().flat_map(|m| m.jobs).collect();
+            listed.extend(now);
+        }
+        revision += 1;
+        c.leader
+            .roster_written(listings, &StateReply::Committed { revision });
+        let certain = c.leader.machines.values().flat_map(|m| &m.entry.jobs);
+        assert_eq!(certain.cloned().collect::<BTreeSet<_>>(), listed);
+    }
+    let placed: usize = c.leader.machines.values().map(|m| m.tasks.len()).sum();
+    assert_eq!(placed, 1600);
+    assert!((600..1600).contains(&listed.len()), "{}", listed.len());
+}
--- a/tests/world/sim.rs
+++ b/tests/world/sim.rs
@@ -17,6 +17,7 @@
             Command, DirectReply, ListedMachine, ListedState, MachineType, ReportedTask, TaskPhase,
             Why, WorkerReport,
         },
+        roster::ShardRecord,
         store::{Change, StateReply, StateRequest},
     },
     settings::Settings,
@@ -172,7 +173,7 @@
             "teams": [{"name": "red", "cpus": 8.0, "cpus_max": TEAM_LIMIT}, {"name": "blue"}],
             "workers": {"report_s": REPORT.as_secs_f64(), "lease_s": LEASE.as_secs_f64(),
                 "gang_wait_s": GANG_WAIT.as_secs_f64(), "gang_peer_s": 3.0, "cancel_s": CANCEL.as_secs_f64()},
-            "state": {"rps": 200.0, "write_rps": 100.0, "value_kb": 16.0, "txn_ops": 16},
+            "state": {"rps": 200.0, "write_rps": 100.0, "value_kb": 0.75, "txn_ops": 16},
             "cloud": {"rps": 10.0, "list_lag_s": 3.0},
             "resources": {"sockets": 500}
         }
@@ -989,12 +990,20 @@
 
     /// A next leader trusts the roster on which jobs a silent machine may hold.
     fn check_listed(&mut self, name: &str, task: &TaskId) {
-        let key = format!("machine/{name}");
-        let entry = self.state.call(self.now, &StateRequest::Get { key });
-        let listed = match entry {
-            Some(StateReply::Entry(entry)) => entry.value.get().contains(task.job.as_str()),
-            _ => false,
+        let request = StateRequest::List {
+            prefix: "roster/".into(),
+            after: None,
         };
+        let entries = match self.state.call(self.now, &request) {
+            Some(StateReply::Entries { entries, .. }) => entries,
+            _ => Vec::new(),
+        };
+        let listed = entries.iter().any(|entry| {
+            let record: ShardRecord =
+                serde_json::from_str(entry.value.get()).expect("a shard of the roster");
+            let mut machines = record.machines();
+            machines.any(|m| &*m.id == name && m.jobs.contains(&task.job))
+        });
         if !listed {
             self.observer.unlisted(self.now, task, name);
         }
