--- a/src/cli.rs
+++ b/src/cli.rs
@@ -22,9 +22,9 @@
     #[arg(long, env = "LOG_LEVEL", default_value = "info", value_name = "LEVEL")]
     pub log_level: tracing::Level,
 
-    /// What an idle machine may cost before it is returned, in units of the prices
-    #[arg(long, env = "KITEYARD_IDLE_COST", default_value_t = 0.01, value_name = "COST", value_parser = cost)]
-    pub idle_cost: f64,
+    /// How long a machine may be idle before it is returned, in times of what another takes to boot
+    #[arg(long, env = "KITEYARD_IDLE_BOOTS", default_value_t = 2.0, value_name = "TIMES", value_parser = times)]
+    pub idle_boots: f64,
 
     /// Grace in seconds for tasks stopped to make room
     #[arg(long, env = "KITEYARD_GRACE_S", default_value_t = 10.0, value_name = "SECONDS", value_parser = seconds)]
@@ -40,10 +40,10 @@
     pub disruption_budget: u32,
 }
 
-fn cost(text: &str) -> Result<f64, String> {
+fn times(text: &str) -> Result<f64, String> {
     match text.parse::<f64>() {
-        Ok(value) if (0.0..=1e6).contains(&value) => Ok(value),
-        _ => Err("expected a cost between 0 and 1000000".into()),
+        Ok(value) if (0.0..=1000.0).contains(&value) => Ok(value),
+        _ => Err("expected a number between 0 and 1000".into()),
     }
 }
 
@@ -57,7 +57,7 @@
 impl Cli {
     pub fn options(&self) -> Options {
         Options {
-            idle_cost: self.idle_cost,
+            idle_boots: self.idle_boots,
             grace: settings::seconds(self.grace_s),
             disruption_budget: self.disruption_budget,
         }
--- a/src/core/config.rs
+++ b/src/core/config.rs
@@ -10,8 +10,8 @@
 /// Choices of the operators.
 #[derive(Debug, Clone)]
 pub struct Options {
-    /// What an idle machine may cost before it is returned.
-    pub idle_cost: f64,
+    /// How long a machine may be idle, in times of what another takes to boot.
+    pub idle_boots: f64,
     pub grace: Duration,
     pub disruption_budget: u32,
 }
@@ -19,7 +19,7 @@
 impl Default for Options {
     fn default() -> Self {
         Self {
-            idle_cost: 0.01,
+            idle_boots: 2.0,
             grace: Duration::from_secs(10),
             disruption_budget: 1,
         }
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -11,7 +11,7 @@
 use super::{
     job::{JobSpec, Kind, Resources},
     leader::Leader,
-    machine::{ListedMachine, ListedState, MachineId, MachineType, Standing},
+    machine::{ListedMachine, ListedState, Machine, MachineId, MachineType, Standing},
 };
 
 #[derive(Debug, Clone)]
@@ -289,7 +289,8 @@
             }
         }
         if !unresolved {
-            leave.extend(self.idle_machine(now).map(|id| (id, "idle")));
+            let idle = self.idle_machines(now).into_iter();
+            leave.extend(idle.map(|id| (id, "idle")));
         }
         for (id, why) in leave {
             info!(machine = %id, why, "leaving");
@@ -299,38 +300,53 @@
         }
     }
 
-    /// One idle machine that can go without taking the spare room for services.
-    fn idle_machine(&self, now: Duration) -> Option<MachineId> {
-        let idle = self
+    /// Idle machines that can go without taking the spare room for services, the
+    /// dearest first.
+    fn idle_machines(&self, now: Duration) -> Vec<MachineId> {
+        let mut idle: Vec<&Machine> = self
             .machines
             .values()
             .filter(|m| m.standing == Standing::Up && m.tasks.is_empty())
-            .filter(|m| now > m.idle_since + self.idle_time(&m.machine_type, m.spot))
-            .max_by(|a, b| {
-                let price = |m: &super::machine::Machine| self.price(&m.machine_type, m.spot);
-                price(a).total_cmp(&price(b))
-            })?;
-        let spare_left = self.services().into_iter().all(|spec| {
-            let slots: u32 = self
-                .machines
-                .values()
-                .filter(|m| m.id != idle.id && self.usable(m, now))
-                .filter(|m| spec.allows_type(&m.machine_type) && spec.allows_place(&m.zone, m.spot))
-                .map(|m| spec.need.times_in(&m.free()))
-                .sum();
-            slots >= 2
+            .filter(|m| now > m.idle_since + self.idle_time(&m.machine_type))
+            .collect();
+        idle.sort_by(|a, b| {
+            let price = |m: &Machine| self.price(&m.machine_type, m.spot);
+            price(b).total_cmp(&price(a))
         });
-        spare_left.then(|| idle.id.clone())
+        let holds = |spec: &JobSpec, m: &Machine| {
+            let may = spec.allows_type(&m.machine_type) && spec.allows_place(&m.zone, m.spot);
+            if may {
+                spec.need.times_in(&m.free())
+            } else {
+                0
+            }
+        };
+        let mut spare: Vec<(Arc<JobSpec>, u32)> = Vec::new();
+        for spec in self.services() {
+            let usable = self.machines.values().filter(|m| self.usable(m, now));
+            let slots = usable.map(|m| holds(&spec, m)).sum();
+            spare.push((spec, slots));
+        }
+        let mut go = Vec::new();
+        for machine in idle {
+            let usable = self.usable(machine, now);
+            let takes = |spec: &JobSpec| if usable { holds(spec, machine) } else { 0 };
+            if spare.iter().all(|(spec, left)| *left >= takes(spec) + 2) {
+                spare
+                    .iter_mut()
+                    .for_each(|(spec, left)| *left -= takes(spec));
+                go.push(machine.id.clone());
+            }
+        }
+        go
     }
 
-    /// How long a machine may stay idle: as long as that costs little, and never
-    /// shorter than another one would take to boot.
-    fn idle_time(&self, machine_type: &str, spot: bool) -> Duration {
+    /// How long a machine may stay idle: what it costs meanwhile is weighed
+    /// against the time and money that another one takes to boot.
+    fn idle_time(&self, machine_type: &str) -> Duration {
         let boot = self.types.iter().find(|t| &*t.name == machine_type);
         let boot = crate::settings::seconds(boot.map_or(0.0, |t| t.boot_s));
-        let per_second = self.price(machine_type, spot) / 3600.0;
-        let affordable = self.config.options.idle_cost / per_second.max(1e-9);
-        boot.max(Duration::from_secs_f64(affordable.min(3600.0)))
+        boot.mul_f64(self.config.options.idle_boots)
     }
 
     /// The largest service of each class that is active.
--- a/tests/binary.rs
+++ b/tests/binary.rs
@@ -305,7 +305,10 @@
     for (args, field) in [
         (vec!["--frobnicate"], "--frobnicate"),
         (vec![], "--config"),
-        (vec!["--config", "x", "--idle-cost", "much"], "--idle-cost"),
+        (
+            vec!["--config", "x", "--idle-boots", "many"],
+            "--idle-boots",
+        ),
     ] {
         let (ok, _, error) = run(&args);
         assert!(
