--- a/src/core/config.rs
+++ b/src/core/config.rs
@@ -42,6 +42,10 @@
     /// How long the leader may act, counted from when it asked for the renewal.
     pub leader_term: Duration,
     pub renew_every: Duration,
+    /// A leader that was not heard for so long is missed. A process that ended is
+    /// mostly back by then and knows more than any other node; in the time that is
+    /// left of a worker's lease another one has to take over and answer it.
+    pub leader_silent: Duration,
     /// Least time between two requests that prove this node's copy.
     pub sync_every: Duration,
     /// Changes a second that the leader may use beside what users cause.
@@ -83,6 +87,7 @@
             worker_lease_bound,
             leader_ttl,
             leader_term: leader_ttl.mul_f64(1.0 - 2.0 * DRIFT).saturating_sub(margin),
+            leader_silent: seconds(workers.lease_s * 0.55),
             renew_every: (leader_ttl / 8).min(Duration::from_millis(1500)),
             sync_every: seconds(3.0 * nodes as f64 / params.state.rps),
             leader_writes: params.state.write_rps * 0.75,
--- a/src/core/front.rs
+++ b/src/core/front.rs
@@ -118,7 +118,7 @@
                 self.answer(request, Answer::Accepted(id));
             }
             StateReply::Conflict => self.ask(request, id, Question::Repeat),
-            StateReply::Refused { retry } => {
+            StateReply::Refused { retry, .. } => {
                 let retry = retry.unwrap_or(RETRY);
                 self.answer(request, Answer::Later { retry });
             }
--- a/src/core/lead.rs
+++ b/src/core/lead.rs
@@ -14,7 +14,9 @@
     leader::{Found, Leader},
     mirror::LeaderRecord,
     roster::ShardRecord,
-    store::{LEADER, LIVE, PROGRESS, ROSTER, StateReply, StateRequest, put_leased, when},
+    store::{
+        LEADER, LIVE, PROGRESS, ROSTER, SETTLED, StateReply, StateRequest, put, put_leased, when,
+    },
 };
 
 #[derive(Debug, Default)]
@@ -22,6 +24,8 @@
     lease: Option<u64>,
     /// Revision of the claim while it stands.
     claim: Option<u64>,
+    /// Until then the lease stands.
+    lease_until: Duration,
     /// Until then this node may act as the leader.
     valid_until: Duration,
     next_renewal: Duration,
@@ -31,11 +35,43 @@
     /// This process has asked for a vacant leadership, so a leader key of this
     /// node need not be that of the process before it.
     asked: bool,
+    /// The claim is known to have stood at this time.
+    proven: Duration,
+    /// When that was asked for last.
+    proof_asked: Duration,
     /// The former leader has stopped acting by then.
     former_stopped: Duration,
+    /// The leader key that this node saw last, and since when.
+    seen: Option<Seen>,
+    /// A note that this claim is settled is under way, or was tried at this time.
+    settling: bool,
+    settled_at: Duration,
+    /// A claim that resigned for this node.
+    resigned: Option<u64>,
     taking: Option<TakeOver>,
 }
 
+#[derive(Debug)]
+struct Seen {
+    version: u64,
+    since: Duration,
+    /// Its owner took the place of one that may act for another term.
+    superseded: bool,
+}
+
+/// What is known of the leader before a claim, and so of when it has stopped.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Former {
+    /// Its lease has ended, and its term before that.
+    Ended,
+    /// It was the process before this one.
+    Predecessor,
+    /// It said so.
+    Resigned,
+    /// It may act until the end of its term: it last renewed it before this claim.
+    Superseded,
+}
+
 impl Lead {
     pub fn token(&self) -> Option<u64> {
         self.claim.map(|claim| claim << 16)
@@ -99,23 +135,15 @@
         }
         if self.lead.claim.is_some() {
             self.pump_take_over();
+            self.settle();
             return;
         }
-        let vacant = match &self.mirror.leader {
-            None => true,
-            // A process that ended never acts again: its successor on the same
-            // node need not wait for the end of its lease.
-            Some((record, _)) => record.node == self.config.node,
-        };
-        if !vacant || self.lead.claiming || now < self.lead.retry {
+        if self.lead.claiming || now < self.lead.retry {
             return;
         }
+        let Some(former) = self.former() else { return };
+        let version = self.mirror.leader.as_ref().map_or(0, |(_, v)| *v);
         self.lead.claiming = true;
-        let version = self
-            .mirror
-            .leader
-            .as_ref()
-            .map_or(0, |(_, version)| *version);
         match self.lead.lease {
             None => self.call(
                 Purpose::Grant,
@@ -124,20 +152,17 @@
                 },
             ),
             Some(lease) => {
-                // Only the process before this one, which ended before this one
-                // began, needs no waiting for its workers from the claim on. By
-                // the time of the answer the key may be this claim's already, so
-                // this is settled here.
-                self.lead.asked |= version == 0;
-                let predecessor = !self.lead.asked;
+                // By the time of the answer the key may be this claim's already.
+                self.lead.asked |= former != Former::Predecessor;
                 let record = LeaderRecord {
                     node: self.config.node.clone(),
+                    superseded: former == Former::Superseded,
                 };
                 self.call(
                     Purpose::Claim {
                         lease,
                         sent: now,
-                        predecessor,
+                        former,
                     },
                     StateRequest::Txn {
                         conditions: vec![when(LEADER, version)],
@@ -148,6 +173,48 @@
         }
     }
 
+    /// Whether this node may claim the leadership now, and what it takes the place of.
+    fn former(&self) -> Option<Former> {
+        let Some((record, version)) = &self.mirror.leader else {
+            // A key that stood for less than a term may have taken the place of
+            // one that still acts, and one that was never seen may have, too.
+            let ended = self.lead.seen.as_ref().is_some_and(|seen| {
+                !seen.superseded
+                    || self.mirror.settled == seen.version
+                    || self.now() > seen.since + self.config.leader_ttl
+            });
+            return Some(match ended {
+                true => Former::Ended,
+                false => Former::Superseded,
+            });
+        };
+        if record.node == self.config.node {
+            // A process that ended never acts again: its successor on the same
+            // node need not wait for the end of its lease. One that itself took
+            // another's place may have ended before that one's term.
+            return Some(match (self.mirror.unsettled(), self.lead.asked) {
+                (true, _) => Former::Superseded,
+                (false, false) => Former::Predecessor,
+                (false, true) => Former::Ended,
+            });
+        }
+        if self.lead.resigned == Some(*version) {
+            return Some(Former::Resigned);
+        }
+        self.supersedes()
+    }
+
+    /// The leader has made way for this node.
+    pub(super) fn resigned(&mut self, claim: u64) {
+        self.lead.resigned = Some(claim);
+        self.lead.retry = self.now();
+    }
+
+    /// Whoever led before has stopped acting.
+    pub(super) fn former_stopped(&self) -> bool {
+        self.now() >= self.lead.former_stopped
+    }
+
     pub(super) fn granted(&mut self, reply: StateReply) {
         self.lead.claiming = false;
         match reply {
@@ -165,10 +232,14 @@
         match reply {
             StateReply::Renewed => {
                 let until = sent + self.config.leader_term;
-                self.lead.valid_until = self.lead.valid_until.max(until);
+                self.lead.lease_until = self.lead.lease_until.max(until);
+                // The lease outlives a claim that another node has replaced, so
+                // the term grows only once the claim was seen to stand as well.
+                self.verify(sent);
             }
             StateReply::LeaseGone => {
                 self.lead.lease = None;
+                self.lead.lease_until = Duration::ZERO;
                 self.lead.valid_until = Duration::ZERO;
                 self.drop_leader("its lease is gone");
             }
@@ -176,22 +247,79 @@
         }
     }
 
+    /// Asks whether the claim stands, after a renewal that was asked for at `renewed`.
+    fn verify(&mut self, renewed: Duration) {
+        let Some(claim) = self.lead.claim else { return };
+        let asked = self.now();
+        self.lead.proof_asked = asked;
+        self.call(
+            Purpose::Verify {
+                claim,
+                renewed,
+                asked,
+            },
+            StateRequest::Txn {
+                conditions: vec![when(LEADER, claim)],
+                changes: Vec::new(),
+            },
+        );
+    }
+
+    /// What rests on the claim must not wait for the next renewal.
+    pub(super) fn hurry_proof(&mut self) {
+        if self.now() > self.lead.proof_asked + BACK_OFF {
+            self.verify(Duration::ZERO);
+        }
+    }
+
+    pub(super) fn proven(&self) -> Duration {
+        self.lead.proven
+    }
+
+    /// The claim stood after `asked`.
+    pub(super) fn verified(
+        &mut self,
+        claim: u64,
+        renewed: Duration,
+        asked: Duration,
+        reply: &StateReply,
+    ) {
+        if self.lead.claim != Some(claim) {
+            return;
+        }
+        match reply {
+            StateReply::Committed { .. } => {
+                self.lead.proven = self.lead.proven.max(asked);
+                if renewed.is_zero() {
+                    return;
+                }
+                let until = renewed + self.config.leader_term;
+                self.lead.valid_until = self.lead.valid_until.max(until);
+            }
+            StateReply::Conflict => self.drop_leader("another node has taken its place"),
+            _ => {}
+        }
+    }
+
     pub(super) fn claimed(
         &mut self,
         lease: u64,
         sent: Duration,
-        predecessor: bool,
+        former: Former,
         reply: StateReply,
     ) {
         self.lead.claiming = false;
         let now = self.now();
         match reply {
             StateReply::Committed { revision } if self.lead.lease == Some(lease) => {
-                info!(claim = revision, after = ?(now - sent), "lead");
+                info!(claim = revision, after = ?(now - sent), ?former, "lead");
                 self.lead.claim = Some(revision);
-                self.lead.former_stopped = match predecessor {
-                    true => Duration::ZERO,
-                    false => now,
+                self.lead.valid_until = self.lead.lease_until;
+                self.lead.proven = sent;
+                self.lead.former_stopped = match former {
+                    Former::Predecessor => Duration::ZERO,
+                    Former::Ended | Former::Resigned => now,
+                    Former::Superseded => now + self.config.leader_ttl,
                 };
                 self.lead.asked = true;
                 self.lead.taking = Some(TakeOver::default());
@@ -208,6 +336,7 @@
 
     /// The leader key has changed.
     pub(super) fn leader_changed(&mut self) {
+        self.leader_seen();
         let standing = self.mirror.leader.as_ref().map(|(_, version)| *version);
         if let Some(claim) = self.lead.claim
             && self.mirror.cursor >= claim
@@ -220,6 +349,22 @@
         }
     }
 
+    pub(super) fn leader_seen(&mut self) {
+        if let Some((record, version)) = &self.mirror.leader
+            && self
+                .lead
+                .seen
+                .as_ref()
+                .is_none_or(|s| s.version != *version)
+        {
+            self.lead.seen = Some(Seen {
+                version: *version,
+                since: self.now(),
+                superseded: record.superseded,
+            });
+        }
+    }
+
     pub(super) fn drop_leader(&mut self, why: &str) {
         if self.lead.claim.take().is_some() {
             info!(why, "no longer leads");
@@ -229,6 +374,34 @@
         self.saves.reset();
     }
 
+    /// Whoever led before this claim has stopped: once that is stored, a successor
+    /// of this process need not wait for it any more.
+    fn settle(&mut self) {
+        let now = self.now();
+        if !self.mirror.unsettled()
+            || !self.leads()
+            || !self.former_stopped()
+            || self.lead.settling
+            || now < self.lead.settled_at + BACK_OFF
+        {
+            return;
+        }
+        let Some(claim) = self.lead.claim else { return };
+        self.lead.settling = true;
+        self.call(
+            Purpose::Settle,
+            StateRequest::Txn {
+                conditions: vec![when(LEADER, claim)],
+                changes: vec![put(SETTLED, &claim)],
+            },
+        );
+    }
+
+    pub(super) fn settled(&mut self) {
+        self.lead.settling = false;
+        self.lead.settled_at = self.now() + BACK_OFF;
+    }
+
     fn pump_take_over(&mut self) {
         let now = self.now();
         let (Some(taking), Some(claim)) = (&mut self.lead.taking, self.lead.claim) else {
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -125,6 +125,8 @@
     pub fleet: Fleet,
     /// Until then a silent machine may hold tasks that a former leader started.
     pub resolve_by: Duration,
+    /// The claim is known to have stood at this time.
+    pub proven: Duration,
     attempts: u64,
     pub next_pass: Duration,
     pub next_round: Duration,
@@ -191,6 +193,7 @@
             queue: Queue::default(),
             fleet: Fleet::new(format!("{}-{claim}", config.node)),
             resolve_by,
+            proven: Duration::ZERO,
             attempts: claim << 24,
             next_pass: Duration::ZERO,
             next_round: Duration::ZERO,
@@ -906,15 +909,19 @@
     }
 
     /// What time brings: leases that are over, and silent machines proven empty.
+    ///
+    /// A lease ends only if no other leader has answered the worker meanwhile. One
+    /// that has taken this one's place can have done so from its claim on; so the
+    /// time that counts is not now, but when this claim was last known to stand.
     pub fn tick(&mut self, now: Duration) {
         self.log_counts(now);
-        let lease = self.config.worker_lease_bound;
+        let proven = self.proven;
         let lost: Vec<MachineId> = self
             .machines
             .values()
             .filter(|m| m.standing == Standing::Up || m.standing == Standing::Leaving)
-            .filter(|m| m.answered_at.is_some_and(|at| now > at + lease))
             .filter(|m| m.session > m.dead_session)
+            .filter(|m| self.lease_over(m).is_some_and(|at| proven > at))
             .map(|m| m.id.clone())
             .collect();
         for id in lost {
@@ -931,7 +938,7 @@
             self.session_over(&id, now);
             self.requeue();
         }
-        if now > self.resolve_by && self.unresolved() {
+        if proven > self.resolve_by && self.unresolved() {
             for machine in self.machines.values_mut().filter(|m| m.unresolved) {
                 info!(machine = %machine.id, "silent machine proven empty");
                 machine.unresolved = false;
@@ -943,6 +950,28 @@
         }
     }
 
+    /// When the lease of a worker that stays silent is over. One that has not seen
+    /// this leader's token may have been answered by a former leader until that
+    /// one stopped: an answer to a report that was held back proves nothing.
+    fn lease_over(&self, machine: &Machine) -> Option<Duration> {
+        let over = machine.answered_at? + self.config.worker_lease_bound;
+        Some(match machine.fenced {
+            true => over,
+            false => over.max(self.resolve_by),
+        })
+    }
+
+    /// A lease would be over if the claim were known to stand still.
+    pub fn wants_proof(&self, now: Duration) -> bool {
+        let over = |end: Duration| now > end && self.proven <= end;
+        self.machines.values().any(|m| {
+            let lost = matches!(m.standing, Standing::Up | Standing::Leaving)
+                && m.session > m.dead_session
+                && self.lease_over(m).is_some_and(over);
+            lost || (m.unresolved && over(self.resolve_by))
+        })
+    }
+
     fn trim_cache(&mut self, id: &MachineId, now: Duration) {
         let sizes: HashMap<Arc<str>, f64> = self
             .jobs
--- a/src/core/mirror.rs
+++ b/src/core/mirror.rs
@@ -10,13 +10,16 @@
 use super::{
     job::{JobId, JobRecord},
     machine::MachineType,
-    store::{Entry, Event, JOBS, LEADER, TYPES},
+    store::{Entry, Event, JOBS, LEADER, SETTLED, TYPES},
 };
 
 /// Who leads, in the leader key.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct LeaderRecord {
     pub node: String,
+    /// It took the place of one that may act for another term.
+    #[serde(default)]
+    pub superseded: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -31,6 +34,8 @@
     /// Every change up to this revision is in the copy.
     pub cursor: u64,
     pub leader: Option<(LeaderRecord, u64)>,
+    /// The last claim that is settled.
+    pub settled: u64,
     pub types: Option<Arc<Vec<MachineType>>>,
     pub jobs: BTreeMap<JobId, LiveJob>,
 }
@@ -45,6 +50,12 @@
 }
 
 impl Mirror {
+    /// The leader took the place of one that may still act.
+    pub fn unsettled(&self) -> bool {
+        let leader = self.leader.as_ref();
+        leader.is_some_and(|(record, version)| record.superseded && self.settled != *version)
+    }
+
     pub fn load(&mut self, entries: Vec<Entry>) {
         for entry in entries {
             self.apply(&Event {
@@ -74,6 +85,12 @@
                 .map(|record| (record, event.revision));
             return Some(Noticed::Leader);
         }
+        if event.key == SETTLED {
+            self.settled = value
+                .and_then(|v| serde_json::from_str(v).ok())
+                .unwrap_or_default();
+            return None;
+        }
         if event.key == TYPES {
             self.types = value
                 .and_then(|v| serde_json::from_str(v).ok())
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -10,6 +10,7 @@
 pub mod machine;
 pub mod mirror;
 pub mod order;
+pub mod pulse;
 pub mod queue;
 pub mod relay;
 pub mod roster;
@@ -150,11 +151,19 @@
     Renew {
         sent: Duration,
     },
+    /// Compares the claim after a renewal that was asked for at `renewed`, if any.
+    Verify {
+        claim: u64,
+        renewed: Duration,
+        asked: Duration,
+    },
     Claim {
         lease: u64,
         sent: Duration,
-        predecessor: bool,
+        former: lead::Former,
     },
+    Probe,
+    Settle,
     Accept {
         request: RequestId,
         spec: Arc<JobSpec>,
@@ -204,6 +213,7 @@
     retry_types: Duration,
     saves: saves::Saves,
     relays: Relays,
+    pulses: pulse::Pulses,
 }
 
 impl Node {
@@ -212,6 +222,7 @@
         Self {
             saves: saves::Saves::new(&config),
             relays: Relays::default(),
+            pulses: pulse::Pulses::default(),
             config,
             clock: Clock {
                 now: Duration::ZERO,
@@ -243,7 +254,7 @@
             Input::Status { request, id } => self.ask(request, id, Question::Status),
             Input::Withdraw { request, id } => self.ask(request, id, Question::Withdraw),
             Input::Ready { request } => {
-                let ready = self.mirror.loaded && self.mirror.types.is_some();
+                let ready = self.mirror.loaded && self.mirror.types.is_some() && !self.left_alone();
                 self.answer(request, Answer::Ready(ready));
             }
             Input::Report { request, report } => self.report(request, report),
@@ -308,6 +319,7 @@
     fn pump(&mut self) {
         self.pump_mirror();
         self.pump_types();
+        self.pump_pulses();
         self.pump_lead();
         self.pump_polls();
         self.pump_relays();
@@ -315,6 +327,7 @@
         if !self.leads() {
             return;
         }
+        let proven = self.proven();
         let Some(leader) = &mut self.leader else {
             return;
         };
@@ -325,7 +338,9 @@
             return;
         }
         leader.next_round = now + ROUND;
+        leader.proven = proven;
         leader.tick(now);
+        let wants_proof = leader.wants_proof(now);
         if leader.queue.dirty && now >= leader.next_pass {
             leader.pass(now);
         }
@@ -340,6 +355,9 @@
         if let Some(request) = cloud {
             self.call_cloud(request);
         }
+        if wants_proof {
+            self.hurry_proof();
+        }
         self.pump_saves();
     }
 
@@ -410,6 +428,7 @@
 
     fn state_reply(&mut self, purpose: Purpose, reply: StateReply) {
         let now = self.now();
+        self.state_answered(&reply);
         match purpose {
             Purpose::Load { after } => self.loaded(after, reply),
             Purpose::Watch => {
@@ -424,11 +443,18 @@
             }
             Purpose::Grant => self.granted(reply),
             Purpose::Renew { sent } => self.renewed(sent, reply),
+            Purpose::Verify {
+                claim,
+                renewed,
+                asked,
+            } => self.verified(claim, renewed, asked, &reply),
             Purpose::Claim {
                 lease,
                 sent,
-                predecessor,
-            } => self.claimed(lease, sent, predecessor, reply),
+                former,
+            } => self.claimed(lease, sent, former, reply),
+            Purpose::Probe => self.probed(),
+            Purpose::Settle => self.settled(),
             Purpose::Accept {
                 request,
                 spec,
@@ -472,6 +498,7 @@
         } else {
             self.loading = false;
             self.mirror.loaded = true;
+            self.leader_seen();
         }
     }
 
--- a/src/core/relay.rs
+++ b/src/core/relay.rs
@@ -12,6 +12,7 @@
     Answer, Node, Output, RequestId,
     job::JobId,
     machine::{MachineId, WorkerReport},
+    pulse::Pulse,
 };
 
 /// One line between two nodes.
@@ -19,11 +20,28 @@
 #[serde(rename_all = "snake_case")]
 pub enum PeerMessage {
     /// A worker's report, for the leader.
-    Report { relay: u64, report: WorkerReport },
+    Report {
+        relay: u64,
+        report: WorkerReport,
+    },
     /// The leader's answer; none where it does not lead.
-    Reported { relay: u64, answer: Option<Answer> },
+    Reported {
+        relay: u64,
+        answer: Option<Answer>,
+    },
+    Pulse(Pulse),
+    /// The leader is asked to make way.
+    Resign {
+        claim: u64,
+    },
+    /// It has, and does not act any more.
+    Resigned {
+        claim: u64,
+    },
     /// Done and running tasks of active jobs.
-    Digest { jobs: Vec<(JobId, u32, u32)> },
+    Digest {
+        jobs: Vec<(JobId, u32, u32)>,
+    },
 }
 
 #[derive(Debug)]
@@ -78,7 +96,11 @@
             .redirected
             .get(&report.machine)
             .is_some_and(|at| now < *at + self.config.worker_lease_bound);
-        let lost_way = report.token >> 16 == claim || sent_before;
+        let knows = report.token >> 16 == claim;
+        if knows {
+            self.worker_stranded();
+        }
+        let lost_way = knows || sent_before;
         if !lost_way || self.relays.waiting.len() >= RELAYS_MOST {
             self.relays.redirected.insert(report.machine.clone(), now);
             self.answer(request, Answer::Redirect(Some(node)));
@@ -111,6 +133,9 @@
                     self.answer(waiting.request, answer);
                 }
             }
+            PeerMessage::Pulse(pulse) => self.pulse(from, pulse),
+            PeerMessage::Resign { claim } => self.resign(from, claim),
+            PeerMessage::Resigned { claim } => self.resigned(claim),
             PeerMessage::Digest { jobs } => {
                 self.relays.digest = jobs
                     .into_iter()
--- a/src/core/store.rs
+++ b/src/core/store.rs
@@ -10,6 +10,8 @@
 /// Everything a follower has to keep in sight: the leader, machine types and active jobs.
 pub const LIVE: &str = "live/";
 pub const LEADER: &str = "live/leader";
+/// The last claim whose holder knows that whoever led before has stopped acting.
+pub const SETTLED: &str = "live/settled";
 pub const TYPES: &str = "live/types";
 pub const JOBS: &str = "live/job/";
 pub const FINALS: &str = "final/";
@@ -138,9 +140,10 @@
         revision: u64,
     },
     TooOld,
-    /// Not executed: over a limit or in an outage.
+    /// Not executed: over a limit of requests, or in an outage.
     Refused {
         retry: Option<Duration>,
+        limited: bool,
     },
     /// No answer: the request may have been executed, or may be later.
     Unclear,
--- a/src/wire/state.rs
+++ b/src/wire/state.rs
@@ -140,7 +140,10 @@
     body: &[u8],
 ) -> StateReply {
     match (status, request) {
-        (429 | 503, _) => StateReply::Refused { retry },
+        (429 | 503, _) => StateReply::Refused {
+            retry,
+            limited: status == 429,
+        },
         (200, request) => decode_ok(request, body).unwrap_or(StateReply::Unclear),
         (404, StateRequest::Get { .. }) => StateReply::Missing,
         (404, StateRequest::Renew { .. }) => StateReply::LeaseGone,
