--- a/src/core/sched.rs
+++ b/src/core/sched.rs
@@ -450,11 +450,12 @@
         (0..view.rooms.len())
             .filter_map(|i| self.plan(view, i, spec, reclaims))
             .min_by(|a, b| {
-                // Among machines that are disrupted alike, the one with the image.
-                (a.breaches, a.highest, a.victims.len())
-                    .cmp(&(b.breaches, b.highest, b.victims.len()))
+                // Among machines that are disrupted alike, the one with the image: what
+                // one victim more loses is less than what a fetch keeps waiting.
+                (a.breaches, a.highest)
+                    .cmp(&(b.breaches, b.highest))
                     .then(a.fetch.total_cmp(&b.fetch))
-                    .then(a.room.cmp(&b.room))
+                    .then((a.victims.len(), a.room).cmp(&(b.victims.len(), b.room)))
             })
     }
 
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -689,3 +689,29 @@
     assert_eq!(starts_by(&mut c, 139), 0);
     assert_eq!(starts_by(&mut c, 141), 1);
 }
+
+/// Among machines that are disrupted alike, the one that has the image is taken,
+/// even where one more of the lowest tasks has to go.
+#[test]
+fn the_image_decides_among_machines_that_are_disrupted_alike() {
+    let mut c = Cluster::new(4.0);
+    c.machine("vm-1");
+    c.machine("vm-2");
+    let one = c.job(spec(1, Kind::Array, Priority::Normal, 1, 4.0));
+    c.runs("vm-1", &one, 0);
+    let other = JobSpec {
+        image: Arc::from("other"),
+        ..spec(2, Kind::Array, Priority::Normal, 2, 2.0)
+    };
+    let two = c.job(other.clone());
+    (0..2).for_each(|i| c.runs("vm-2", &two, i));
+    let high = c.job(JobSpec {
+        id: JobId::parse("run-000003").expect("an id"),
+        priority: Priority::High,
+        tasks: 1,
+        need: amount(4.0),
+        ..other
+    });
+    c.pass();
+    assert_eq!(c.nominated(&high), ["vm-2"]);
+}
