Rounds as rare as the cluster is large; cheaper sums and reports

The leader looked at every machine 50 times a second, hashed a team's name for every task of every pass and built a set of every report.

--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -498,20 +498,27 @@
 
     /// The worker's list of tasks against what is known of the machine.
     fn take_in(&mut self, id: &MachineId, report: &WorkerReport, regular: bool, now: Duration) {
-        let mut listed = BTreeSet::new();
         for reported in &report.tasks {
             let key = (reported.task.clone(), reported.attempt);
-            listed.insert(key.clone());
             self.take_in_task(id, key, reported.phase, now);
         }
         let Some(machine) = self.machines.get_mut(id) else {
             return;
         };
+        // All that was reported is known now. Mostly there is nothing else.
+        if machine.tasks.len() <= report.tasks.len() {
+            return;
+        }
+        let listed: BTreeSet<(&TaskId, u64)> = report
+            .tasks
+            .iter()
+            .map(|reported| (&reported.task, reported.attempt))
+            .collect();
         let gone: Vec<_> = machine
             .tasks
             .iter()
             .filter(|(key, placement)| {
-                !listed.contains(key)
+                !listed.contains(&(&key.0, key.1))
                     && match placement.phase {
                         Phase::Decided => false,
                         Phase::Sent { seq, direct } => {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -187,8 +187,11 @@
 const STATE_TIMEOUT: Duration = Duration::from_millis(1500);
 const WATCH_WAIT: Duration = Duration::from_secs(10);
 const BACK_OFF: Duration = Duration::from_millis(300);
-/// The least time between two rounds of what the leader does by itself.
+/// The least time between two rounds of what the leader does by itself, and what
+/// each machine adds to it: a round looks at all of them, and takes the same share
+/// of the processor however many there are.
 const ROUND: Duration = Duration::from_millis(20);
+const ROUND_PER_MACHINE: Duration = Duration::from_micros(150);
 /// Final states kept in memory, so that polls for them need no request.
 const FINALS_KEPT: usize = 4096;
 
@@ -337,7 +340,7 @@
         if now < leader.next_round {
             return;
         }
-        leader.next_round = now + ROUND;
+        leader.next_round = now + ROUND + ROUND_PER_MACHINE * leader.machines.len() as u32;
         leader.proven = proven;
         leader.tick(now);
         let wants_proof = leader.wants_proof(now);
--- a/src/core/sched.rs
+++ b/src/core/sched.rs
@@ -74,12 +74,31 @@
     }
 }
 
+/// What teams' tasks take. There are few teams, and every task of every machine
+/// is counted in every pass: a list beats a map.
+#[derive(Clone, Default)]
+struct Usage(Vec<(Arc<str>, Resources)>);
+
+impl Usage {
+    fn add(&mut self, team: &Arc<str>, need: &Resources) {
+        match self.0.iter_mut().find(|(name, _)| name == team) {
+            Some((_, sum)) => *sum = sum.plus(need),
+            None => self.0.push((team.clone(), *need)),
+        }
+    }
+
+    fn of(&self, team: &Arc<str>) -> Resources {
+        let found = self.0.iter().find(|(name, _)| name == team);
+        found.map(|(_, sum)| *sum).unwrap_or_default()
+    }
+}
+
 struct View {
     rooms: Vec<Room>,
     /// What each team's tasks take, those that silent machines may hold included.
-    usage: HashMap<Arc<str>, Resources>,
+    usage: Usage,
     /// The part of it that is stopping.
-    leaving: HashMap<Arc<str>, Resources>,
+    leaving: Usage,
     /// Tasks of the job at hand by zone, and the replicas by machine.
     zones: BTreeMap<Arc<str>, u32>,
 }
@@ -136,21 +155,20 @@
     }
 
     fn view(&self, now: Duration) -> View {
-        let mut usage: HashMap<Arc<str>, Resources> = HashMap::new();
-        let mut leaving: HashMap<Arc<str>, Resources> = HashMap::new();
+        let (mut usage, mut leaving) = (Usage::default(), Usage::default());
         for machine in self.machines.values() {
             for p in machine.tasks.values().filter(|p| !p.exited()) {
                 match &p.spec {
                     Some(spec) => {
-                        add(&mut usage, &spec.team, &p.need);
+                        usage.add(&spec.team, &p.need);
                         if p.stopping() {
-                            add(&mut leaving, &spec.team, &p.need);
+                            leaving.add(&spec.team, &p.need);
                         }
                     }
                     // Whose it is nobody knows any more: it counts for each team.
                     None => {
                         for team in self.config.teams.keys() {
-                            add(&mut usage, team, &p.need);
+                            usage.add(team, &p.need);
                         }
                     }
                 }
@@ -163,7 +181,7 @@
                     .waiting_count()
                     .min(job.spec.need.times_in(&machine.size));
                 let sum = Resources::default().plus_times(&job.spec.need, f64::from(hidden));
-                add(&mut usage, &job.spec.team, &sum);
+                usage.add(&job.spec.team, &sum);
             }
             // A job that was cancelled meanwhile may still run there, and whose it
             // was nobody knows any more: the machine counts for each team.
@@ -174,7 +192,7 @@
                 .any(|id| !self.jobs.contains_key(id))
             {
                 for team in self.config.teams.keys() {
-                    add(&mut usage, team, &machine.size);
+                    usage.add(team, &machine.size);
                 }
             }
         }
@@ -292,7 +310,7 @@
         view.rooms[room].free = view.rooms[room].free.minus(&spec.need);
         let kept = &mut view.rooms[room].kept[spec.priority as usize];
         *kept = kept.plus(&spec.need);
-        add(&mut view.usage, &spec.team, &spec.need);
+        view.usage.add(&spec.team, &spec.need);
         let zone = self.machines[machine].zone.clone();
         *view.zones.entry(zone).or_insert(0) += 1;
         if job.nominations.len() != held {
@@ -317,7 +335,7 @@
         let Some(team) = self.config.teams.get(&spec.team) else {
             return true;
         };
-        let used = view.usage.get(&spec.team).copied().unwrap_or_default();
+        let used = view.usage.of(&spec.team);
         let sum = used.plus_times(&spec.need, f64::from(tasks));
         let over = |limit: f64, value: f64| limit > 0.0 && value > limit + 1e-6;
         over(team.cpus_max, sum.cpus) || over(team.gpus_max, sum.gpus)
@@ -492,14 +510,14 @@
         candidates.sort_by(|a, b| (b.2, b.0).cmp(&(a.2, a.0)));
         let mut leaving = match reclaims {
             true => view.leaving.clone(),
-            false => HashMap::new(),
+            false => Usage::default(),
         };
         candidates.retain(|(_, victim, _)| {
             let may = victim.priority < spec.priority
                 || (reclaims && self.may_reclaim(view, &leaving, spec, victim));
             if may {
                 if reclaims {
-                    add(&mut leaving, &victim.team, &victim.need);
+                    leaving.add(&victim.team, &victim.need);
                 }
                 free = free.plus(&victim.need);
             }
@@ -546,7 +564,7 @@
         let Some(team) = self.config.teams.get(&spec.team) else {
             return false;
         };
-        let mut sum = view.usage.get(&spec.team).copied().unwrap_or_default();
+        let mut sum = view.usage.of(&spec.team);
         for job in self.jobs.values().filter(|j| j.spec.team == spec.team) {
             sum = sum.plus_times(&job.spec.need, job.nominations.len() as f64);
         }
@@ -556,22 +574,14 @@
 
     /// Work that another team runs beyond its guarantee, what leaves it put
     /// aside. A higher priority is left alone: it would only preempt back.
-    fn may_reclaim(
-        &self,
-        view: &View,
-        leaving: &HashMap<Arc<str>, Resources>,
-        spec: &JobSpec,
-        victim: &JobSpec,
-    ) -> bool {
+    fn may_reclaim(&self, view: &View, leaving: &Usage, spec: &JobSpec, victim: &JobSpec) -> bool {
         if victim.priority > spec.priority || victim.team == spec.team {
             return false;
         }
         let Some(team) = self.config.teams.get(&victim.team) else {
             return false;
         };
-        let of = |map: &HashMap<Arc<str>, Resources>| map.get(&victim.team).copied();
-        let used = of(&view.usage).unwrap_or_default();
-        let stays = used.minus(&of(leaving).unwrap_or_default());
+        let stays = view.usage.of(&victim.team).minus(&leaving.of(&victim.team));
         stays.cpus > team.cpus + 1e-6 || stays.gpus > team.gpus + 1e-6
     }
 
@@ -600,7 +610,7 @@
             info!(task = %key.0, machine = %machine, by = %id, "preempt");
             self.counts.victims += 1;
             if let Some(victim) = self.jobs.get(&key.0.job).map(|j| j.spec.clone()) {
-                add(&mut view.leaving, &victim.team, &victim.need);
+                view.leaving.add(&victim.team, &victim.need);
             }
             self.stop(&machine, key, grace, now);
         }
@@ -788,11 +798,6 @@
     }
 }
 
-fn add(usage: &mut HashMap<Arc<str>, Resources>, team: &Arc<str>, need: &Resources) {
-    let entry = usage.entry(team.clone()).or_default();
-    *entry = entry.plus(need);
-}
-
 fn zone_allowed(zones: &BTreeMap<Arc<str>, u32>, zone: &Arc<str>, spec: &JobSpec) -> bool {
     if spec.one_zone && zones.iter().any(|(z, n)| z != zone && *n > 0) {
         return false;
--- a/src/wire/worker.rs
+++ b/src/wire/worker.rs
@@ -50,8 +50,9 @@
         return Err("launch: starts at 1".into());
     }
     let mut tasks = Vec::with_capacity(r.strings.len());
+    let mut job = None;
     for entry in &r.strings {
-        let task = parse_task(entry.string).ok_or("string: not a task")?;
+        let task = parse_task(entry.string, &mut job).ok_or("string: not a task")?;
         let phase = match entry.attitude {
             "pulling" => TaskPhase::Fetching,
             "waiting" => TaskPhase::Waiting,
@@ -89,10 +90,16 @@
     })
 }
 
-fn parse_task(text: &str) -> Option<TaskId> {
+/// A task's name. Most tasks of a report are of the same job as the one before.
+fn parse_task(text: &str, last: &mut Option<JobId>) -> Option<TaskId> {
     let (job, index) = text.rsplit_once('/')?;
+    let job = match last {
+        Some(last) if last.as_str() == job => last.clone(),
+        _ => JobId::parse(job)?,
+    };
+    *last = Some(job.clone());
     Some(TaskId {
-        job: JobId::parse(job)?,
+        job,
         index: index.parse().ok()?,
     })
 }
