--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -117,6 +117,12 @@
             self.plan_returns(now);
             self.plan_rentals(now);
         }
+        let mut silent = self.plan_reclaims(now);
+        silent.retain(|id| !self.fleet.releasing.contains(id));
+        if !silent.is_empty() {
+            self.fleet.releasing.extend(silent.iter().cloned());
+            return Some(CloudRequest::Release { machines: silent });
+        }
         if let Some(open) = self
             .fleet
             .open
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -358,6 +358,7 @@
         let was_up = machine.standing == Standing::Up && machine.fenced;
         machine.addr = Some(report.addr);
         machine.heard_at = Some(now);
+        machine.mute = false;
         machine.answered_at = Some(now);
         if matches!(machine.standing, Standing::Booting | Standing::Lost) {
             info!(machine = %id, kind = %machine.machine_type, zone = %machine.zone, "machine up");
@@ -410,10 +411,10 @@
             .filter(|m| !m.direct && now >= m.direct_retry)
             .filter(|m| matches!(m.standing, Standing::Up | Standing::Leaving))
             .filter(|m| {
-                m.heard_at
-                    .is_some_and(|at| now <= at + self.config.report * 2)
+                let silence = now.saturating_sub(m.heard_at.unwrap_or_default());
+                let silent = m.heard_at.is_none() || silence > self.config.report * 2;
+                (!silent && (!m.fenced || m.urgent())) || self.doubtful(m, now)
             })
-            .filter(|m| !m.fenced || m.urgent())
             .map(|m| m.id.clone())
             .collect();
         due.into_iter().filter_map(|id| self.direct(id)).collect()
@@ -443,7 +444,10 @@
             DirectReply::Refused(report) => (false, report),
             DirectReply::Unclear => {
                 // It may still be executed, until the worker sees a higher token.
-                machine.token += 1;
+                if !direct.commands.is_empty() {
+                    machine.token += 1;
+                }
+                machine.mute = true;
                 machine.direct_retry = now + self.config.report * 2;
                 return;
             }
@@ -470,6 +474,7 @@
         }
         machine.content_seq = report.seq;
         machine.heard_at = Some(now);
+        machine.mute = false;
         if report.token >= self.token && !machine.fenced {
             machine.fenced = true;
             machine.unresolved = false;
--- a/src/core/machine.rs
+++ b/src/core/machine.rs
@@ -231,6 +231,8 @@
     pub unresolved: bool,
     pub answered_at: Option<Duration>,
     pub heard_at: Option<Duration>,
+    /// It was asked since it was heard last, and did not answer.
+    pub mute: bool,
     pub first_seen: Duration,
     pub idle_since: Duration,
     pub notice_at: Option<Duration>,
@@ -273,6 +275,7 @@
             unresolved: false,
             answered_at: None,
             heard_at: None,
+            mute: false,
             first_seen: now,
             idle_since: now,
             notice_at: None,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -16,6 +16,7 @@
 pub mod roster;
 pub mod saves;
 pub mod sched;
+pub mod silent;
 pub mod store;
 
 use std::{
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -715,3 +715,44 @@
     c.pass();
     assert_eq!(c.nominated(&high), ["vm-2"]);
 }
+
+/// A silent machine with replicas is returned to prove it empty; many that fall
+/// silent at once are cut off, and go on working.
+#[test]
+fn only_a_few_silent_machines_are_given_up() {
+    use kiteyard::core::{fleet::CloudRequest, machine::DirectReply};
+    let given_up = |silent: usize| {
+        let mut c = Cluster::new(4.0);
+        let names: Vec<String> = (0..20).map(|i| format!("vm-{i:02}")).collect();
+        for (number, name) in names.iter().enumerate() {
+            c.machine(name);
+            let job = c.job(spec(number, Kind::Service, Priority::High, 1, 4.0));
+            c.runs(name, &job, 0);
+        }
+        let start = c.now;
+        let mut released = Vec::new();
+        // Less than a worker's lease.
+        for tick in 1..80 {
+            c.now = start + Duration::from_millis(100 * tick);
+            if tick % 10 == 0 {
+                let at = c.now;
+                names[silent..].iter().for_each(|name| {
+                    c.report(name);
+                });
+                c.now = at;
+            }
+            c.leader.proven = c.now;
+            c.leader.tick(c.now);
+            for direct in c.leader.direct_commands(c.now) {
+                c.leader.direct_reply(&direct, DirectReply::Unclear, c.now);
+            }
+            if let Some(CloudRequest::Release { machines }) = c.leader.cloud_work(c.now) {
+                released.extend(machines);
+            }
+        }
+        released.len()
+    };
+    assert_eq!(given_up(0), 0);
+    assert_eq!(given_up(2), 2);
+    assert_eq!(given_up(8), 0);
+}
