--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -19,6 +19,7 @@
     mirror::LiveJob,
     queue::Queue,
     roster::{Roster, ShardRecord},
+    slow::Runs,
     store::progress_key,
 };
 
@@ -51,6 +52,7 @@
     pub failed_on: BTreeSet<MachineId>,
     pub failures: u32,
     pub retry_at: Duration,
+    pub runs: Runs,
     /// Machines held for waiting tasks, one entry a task.
     pub nominations: Vec<MachineId>,
 }
@@ -83,6 +85,7 @@
             failed_on: BTreeSet::new(),
             failures: 0,
             retry_at: Duration::ZERO,
+            runs: Runs::default(),
             nominations: Vec::new(),
             spec,
         }
@@ -555,7 +558,8 @@
         phase: TaskPhase,
         now: Duration,
     ) {
-        if !self.machines[id].tasks.contains_key(&key) {
+        let adopted = !self.machines[id].tasks.contains_key(&key);
+        if adopted {
             self.adopt(id, &key, phase, now);
         }
         let machine = self.machines.get_mut(id).expect("known machine");
@@ -565,7 +569,9 @@
             return;
         }
         placement.phase = Phase::Seen(phase);
-        if phase == TaskPhase::Running {
+        // One that ran before this leader saw it has run for nobody knows how long:
+        // counted from now, all others of its job would look slow.
+        if phase == TaskPhase::Running && !adopted {
             placement.running_since = Some(now);
         }
         let placement = placement.clone();
@@ -587,6 +593,7 @@
         if let TaskPhase::Exited(why) = phase {
             if let (Why::Done, Some(since)) = (why, placement.running_since) {
                 self.learn(&key.0.job, now - since);
+                self.compare(id, &key.0, now - since, now);
             }
             let machine = self.machines.get_mut(id).expect("known machine");
             if !machine.busy() {
@@ -637,6 +644,7 @@
                 running_since: None,
                 stop,
                 foreign: !ours,
+                overdue: false,
             },
         );
         if finished {
@@ -876,6 +884,7 @@
                 running_since: None,
                 stop: None,
                 foreign: false,
+                overdue: false,
             },
         );
     }
