--- a/src/core/slow.rs
+++ b/src/core/slow.rs
@@ -37,9 +37,9 @@
 /// How much one task counts.
 const WEIGHT: f64 = 0.45;
 /// A machine is slow when its tasks take so many times as long as others.
-const SLOW: f64 = 2.0;
+const SLOW: f64 = 1.5;
 /// A task that has run so many times as long as others ran is overdue.
-const OVERDUE: f64 = 2.5;
+const OVERDUE: f64 = 2.0;
 /// Moving a task pays if it would take that much longer to stay than to start again.
 const GAIN: f64 = 1.3;
 /// After this time a slow machine is given another chance.
