--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -114,7 +114,6 @@
     fn next_cloud_request(&mut self, now: Duration) -> Option<CloudRequest> {
         if now >= self.fleet.next_plan {
             self.fleet.next_plan = now + Duration::from_millis(500);
-            self.leave_slow_machines(now);
             self.plan_returns(now);
             self.plan_rentals(now);
         }
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -19,7 +19,6 @@
     mirror::LiveJob,
     queue::Queue,
     roster::{Roster, ShardRecord},
-    slow::Runs,
     store::progress_key,
 };
 
@@ -52,7 +51,6 @@
     pub failed_on: BTreeSet<MachineId>,
     pub failures: u32,
     pub retry_at: Duration,
-    pub runs: Runs,
     /// Machines held for waiting tasks, one entry a task.
     pub nominations: Vec<MachineId>,
 }
@@ -85,7 +83,6 @@
             failed_on: BTreeSet::new(),
             failures: 0,
             retry_at: Duration::ZERO,
-            runs: Runs::default(),
             nominations: Vec::new(),
             spec,
         }
@@ -570,7 +567,7 @@
         }
         placement.phase = Phase::Seen(phase);
         // One that ran before this leader saw it has run for nobody knows how long:
-        // counted from now, all others of its job would look slow.
+        // counted from now, the estimates would look too long.
         if phase == TaskPhase::Running && !adopted {
             placement.running_since = Some(now);
         }
@@ -593,7 +590,6 @@
         if let TaskPhase::Exited(why) = phase {
             if let (Why::Done, Some(since)) = (why, placement.running_since) {
                 self.learn(&key.0.job, now - since);
-                self.compare(id, &key.0, now - since, now);
             }
             let machine = self.machines.get_mut(id).expect("known machine");
             if !machine.busy() {
@@ -644,7 +640,6 @@
                 running_since: None,
                 stop,
                 foreign: !ours,
-                overdue: false,
             },
         );
         if finished {
@@ -884,7 +879,6 @@
                 running_since: None,
                 stop: None,
                 foreign: false,
-                overdue: false,
             },
         );
     }
--- a/src/core/machine.rs
+++ b/src/core/machine.rs
@@ -7,7 +7,6 @@
 use super::{
     job::{JobId, JobSpec, Resources, TaskId},
     roster::RosterEntry,
-    slow::Pace,
 };
 
 pub type MachineId = Arc<str>;
@@ -155,8 +154,6 @@
     pub stop: Option<Stop>,
     /// The task is of a job that is over or unknown, or runs elsewhere.
     pub foreign: bool,
-    /// It has run much longer than others of its array, and was counted for it.
-    pub overdue: bool,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -242,7 +239,6 @@
     pub tasks: BTreeMap<(TaskId, u64), Placement>,
     /// Images in the machine's cache, as far as seen, with their last use.
     pub images: BTreeMap<Arc<str>, Duration>,
-    pub pace: Pace,
     /// Recent failures of tasks here, one entry a job.
     pub failures: Vec<(JobId, Duration)>,
     /// When the cloud's list last showed it.
@@ -285,7 +281,6 @@
             notice_at: None,
             tasks: BTreeMap::new(),
             images: BTreeMap::new(),
-            pace: Pace::default(),
             failures: Vec::new(),
             listed_at: None,
             listed_failed: false,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -17,7 +17,6 @@
 pub mod saves;
 pub mod sched;
 pub mod silent;
-pub mod slow;
 pub mod store;
 
 use std::{
--- a/src/core/sched.rs
+++ b/src/core/sched.rs
@@ -28,8 +28,8 @@
     stopping: Resources,
     /// What tasks that could be stopped hold, by priority.
     kept: [Resources; Priority::ALL.len()],
-    /// It runs tasks slower than others.
-    slow: bool,
+    /// Something runs there that has no end, so it can't be returned anyway.
+    anchored: bool,
     /// Held for parked tasks, by job.
     held: Vec<(Priority, JobId, Resources)>,
     /// Set aside as victims in this pass.
@@ -37,14 +37,14 @@
 }
 
 impl Room {
-    fn new(machine: &Machine, now: Duration) -> Self {
+    fn new(machine: &Machine) -> Self {
         let mut room = Self {
             id: machine.id.clone(),
             size: machine.size,
             free: machine.size,
             stopping: Resources::default(),
             kept: Default::default(),
-            slow: machine.pace.slow(now),
+            anchored: false,
             held: Vec::new(),
             victims: HashSet::new(),
         };
@@ -203,7 +203,7 @@
             .machines
             .values()
             .filter(|m| self.usable(m, now))
-            .map(|m| Room::new(m, now))
+            .map(Room::new)
             .collect();
         for (id, job) in &self.jobs {
             for machine in &job.nominations {
@@ -347,9 +347,6 @@
     /// Whether the job may have a task there, room aside.
     fn allowed(&self, view: &View, room: &Room, spec: &JobSpec) -> bool {
         let machine = &self.machines[&room.id];
-        if room.slow && spec.kind != Kind::Service {
-            return false;
-        }
         spec.allows_type(&machine.machine_type)
             && spec.allows_place(&machine.zone, machine.spot)
             && zone_allowed(&view.zones, &machine.zone, spec)
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -117,7 +117,7 @@
     fn starts(&mut self) {
         let machines = self.leader.machines.values_mut();
         for machine in machines {
-            for ((task, attempt), _) in &machine.tasks {
+            for (task, attempt) in machine.tasks.keys() {
                 let running = self.running.get_mut(&*machine.id).expect("a machine");
                 if running.iter().all(|t| t.task != *task) {
                     running.push(ReportedTask {
@@ -774,49 +774,25 @@
     assert_eq!(given_up(8), 0);
 }
 
-/// A machine that takes much longer than others for tasks of the same array is
-/// slow: arrays leave it, services may stay. Arrays whose tasks are all long, or
-/// of which only the shortest have ended, make no machine look slow.
+/// A task that a new leader finds running has run for nobody knows how long. Counted
+/// from the take-over, its run time would make every estimate look too long.
 #[test]
-fn arrays_leave_a_slow_machine() {
-    let run = |slow: f64, others: f64, ended: usize| {
+fn a_task_found_running_says_nothing_of_run_times() {
+    let seen = |found_running: bool| {
         let mut c = Cluster::new(4.0);
-        let mut names: Vec<String> = (0..10).map(|i| format!("vm-{i}")).collect();
-        names.iter().for_each(|name| c.machine(name));
-        let job = c.job(spec(1, Kind::Array, Priority::Normal, 29, 1.0));
-        let service = c.job(spec(2, Kind::Service, Priority::High, 1, 1.0));
-        c.pass();
-        c.starts();
-        names.iter().for_each(|name| {
-            c.report(name);
-        });
-        let slowest = c.on(&service)[0].clone();
-        names.retain(|name| *name != slowest);
-        names.insert(0, slowest.clone());
-        let start = c.now;
-        for second in 1..60 {
-            c.now = start + Duration::from_secs(second);
-            for (i, name) in names.iter().enumerate() {
-                let run = if i == 0 { slow } else { others };
-                let over = second as f64 > run && (i < ended || i == 0);
-                let tasks = c.running.get_mut(name).expect("a machine");
-                for task in tasks.iter_mut().filter(|t| t.task.job == job) {
-                    if over {
-                        task.phase = TaskPhase::Exited(Why::Done);
-                    }
-                }
-                let at = c.now;
-                c.report(name);
-                c.now = at;
-            }
-            c.leader.cloud_work(c.now);
+        c.machine("vm-1");
+        let job = c.job(spec(1, Kind::Array, Priority::Normal, 1, 4.0));
+        if found_running {
+            c.runs("vm-1", &job, 0);
+        } else {
+            c.pass();
+            c.starts();
+            c.report("vm-1");
         }
-        let stopped = c.victims(&slowest);
-        assert!(stopped.iter().all(|task| task.job == job));
-        stopped.len()
+        c.now += Duration::from_secs(1);
+        c.ends("vm-1", &job, Why::Done);
+        c.leader.seen.get("work").copied()
     };
-    assert_eq!(run(48.0, 12.0, 10), 3);
-    assert_eq!(run(16.0, 12.0, 10), 0);
-    assert_eq!(run(48.0, 48.0, 10), 0);
-    assert_eq!(run(48.0, 12.0, 4), 0, "most have not ended yet");
+    assert_eq!(seen(true), None);
+    assert!(seen(false).is_some_and(|factor| factor < 0.0));
 }
