--- a/src/core/sched.rs
+++ b/src/core/sched.rs
@@ -28,8 +28,6 @@
     stopping: Resources,
     /// What tasks that could be stopped hold, by priority.
     kept: [Resources; Priority::ALL.len()],
-    /// Something runs there that has no end, so it can't be returned anyway.
-    anchored: bool,
     /// Held for parked tasks, by job.
     held: Vec<(Priority, JobId, Resources)>,
     /// Set aside as victims in this pass.
@@ -44,7 +42,6 @@
             free: machine.size,
             stopping: Resources::default(),
             kept: Default::default(),
-            anchored: false,
             held: Vec::new(),
             victims: HashSet::new(),
         };
