--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -369,7 +369,7 @@
         by_class.into_values().collect()
     }
 
-    fn price(&self, machine_type: &str, spot: bool) -> f64 {
+    pub(super) fn price(&self, machine_type: &str, spot: bool) -> f64 {
         self.types
             .iter()
             .find(|t| &*t.name == machine_type)
--- a/src/core/sched.rs
+++ b/src/core/sched.rs
@@ -112,6 +112,8 @@
     freed: Resources,
     /// About how long the image takes to arrive, in seconds.
     fetch: f64,
+    /// What it costs to keep the machine.
+    keeping: f64,
 }
 
 impl Leader {
@@ -403,10 +405,24 @@
         if spec.spot && !machine.spot {
             cost += 1.0;
         }
+        // Work without an end keeps its machine: on a dear one it would keep much
+        // that is not needed. Finite work leaves the cheap ones to it.
+        let keep = self.keeping(machine);
+        cost += match spec.kind {
+            Kind::Service => 1.5 * keep,
+            _ if machine.spot => 0.0,
+            _ => 0.5 * (1.0 - keep),
+        };
         // Full machines first, so that empty ones can be returned.
         Some(cost + room.free.cpus / machine.size.cpus.max(1e-9))
     }
 
+    /// What it costs to keep a machine, as a share of the dearest.
+    fn keeping(&self, machine: &Machine) -> f64 {
+        let dearest = self.types.iter().map(|t| t.price).fold(0.0, f64::max);
+        self.price(&machine.machine_type, machine.spot) / dearest.max(1e-9)
+    }
+
     /// About how long the image takes to arrive there.
     fn fetch_time(&self, machine: &Machine, spec: &JobSpec) -> f64 {
         if machine.has_image(&spec.image) {
@@ -473,6 +489,7 @@
                 (a.breaches, a.highest)
                     .cmp(&(b.breaches, b.highest))
                     .then(a.fetch.total_cmp(&b.fetch))
+                    .then(a.keeping.total_cmp(&b.keeping))
                     .then((a.victims.len(), a.room).cmp(&(b.victims.len(), b.room)))
             })
     }
@@ -543,6 +560,10 @@
             highest: None,
             freed: Resources::default(),
             fetch: self.fetch_time(machine, spec),
+            keeping: match spec.kind {
+                Kind::Service => self.keeping(machine),
+                _ => 0.0,
+            },
         };
         for (breaks, priority, _, key, victim) in budgeted {
             let without = free.minus(&victim.need);
