--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -68,6 +68,7 @@
     next_list: Duration,
     next_types: Duration,
     next_plan: Duration,
+    pub(super) next_drain: Duration,
     next_call: Duration,
     releasing: BTreeSet<MachineId>,
     /// Kinds of machine that were refused, until when they are not asked for again.
@@ -92,6 +93,7 @@
             next_list: Duration::ZERO,
             next_types: Duration::ZERO,
             next_plan: Duration::ZERO,
+            next_drain: Duration::ZERO,
             next_call: Duration::ZERO,
             releasing: BTreeSet::new(),
             refused: HashMap::new(),
@@ -115,6 +117,7 @@
         if now >= self.fleet.next_plan {
             self.fleet.next_plan = now + Duration::from_millis(500);
             self.plan_returns(now);
+            self.plan_drain(now);
             self.plan_rentals(now);
         }
         let mut silent = self.plan_reclaims(now);
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -2,6 +2,7 @@
 //! answer comes out. Nothing here reads a clock or touches a socket.
 
 pub mod config;
+pub mod drain;
 pub mod fleet;
 pub mod front;
 pub mod job;
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -796,3 +796,34 @@
     assert_eq!(seen(true), None);
     assert!(seen(false).is_some_and(|factor| factor < 0.0));
 }
+
+/// A machine that only a few replicas keep is emptied, as many of one service at a
+/// time as its budget allows, and only if others have room and the image.
+#[test]
+fn a_hardly_used_machine_is_emptied_within_the_budget() {
+    let stopping = |room_elsewhere: bool| {
+        let mut c = Cluster::new(40.0);
+        c.machine("vm-1");
+        c.machine("vm-2");
+        let service = c.job(spec(1, Kind::Service, Priority::High, 3, 1.0));
+        (0..2).for_each(|i| c.runs("vm-1", &service, i));
+        c.runs("vm-2", &service, 2);
+        let need = if room_elsewhere { 20.0 } else { 39.0 };
+        let array = c.job(spec(2, Kind::Array, Priority::Normal, 1, need));
+        c.runs("vm-2", &array, 0);
+        let mut most = 0;
+        for second in 1..60 {
+            c.now += Duration::from_secs(1);
+            let at = c.now;
+            c.report("vm-1");
+            c.report("vm-2");
+            c.now = at;
+            c.leader.cloud_work(c.now);
+            most = most.max(c.victims("vm-1").len());
+            assert!(c.victims("vm-2").is_empty(), "second {second}");
+        }
+        most
+    };
+    assert_eq!(stopping(true), 1);
+    assert_eq!(stopping(false), 0);
+}
