--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -1,6 +1,7 @@
 //! The service as a state machine: inputs go in, and what to send, write and
 //! answer comes out. Nothing here reads a clock or touches a socket.
 
+pub mod commands;
 pub mod config;
 pub mod drain;
 pub mod fleet;
