--- a/src/core/sched.rs
+++ b/src/core/sched.rs
@@ -93,7 +93,28 @@
     }
 }
 
+/// A task that found neither room nor victims in this pass. Others that ask for
+/// the same kinds of machine, for as much or more, would find none either: with a
+/// long queue most jobs need not look at every machine.
+struct Hopeless {
+    spec: Arc<JobSpec>,
+}
+
+impl Hopeless {
+    fn covers(&self, spec: &JobSpec) -> bool {
+        let known = &self.spec;
+        known.need.fits_in(&spec.need)
+            && spec.priority <= known.priority
+            && spec.team == known.team
+            && spec.types == known.types
+            && spec.zone == known.zone
+            && (known.spot || !spec.spot)
+    }
+}
+
 struct View {
+    /// Emptied when nominations change, and with them what is held and stopped.
+    hopeless: Vec<Hopeless>,
     rooms: Vec<Room>,
     /// What each team's tasks take, those that silent machines may hold included.
     usage: Usage,
@@ -145,6 +166,11 @@
                 continue;
             }
             let spec = job.spec.clone();
+            // A nominated job may have room that is held for itself alone.
+            if job.nominations.is_empty() && view.hopeless.iter().any(|h| h.covers(&spec)) {
+                self.queue.park(id);
+                continue;
+            }
             view.zones = self.zones(&id);
             let all = match spec.kind {
                 Kind::Gang => self.place_gang(&mut view, &id, &spec, now),
@@ -215,6 +241,7 @@
             }
         }
         View {
+            hopeless: Vec::new(),
             rooms,
             usage,
             leaving,
@@ -323,6 +350,7 @@
     /// The nominations of one job have changed.
     fn refresh_held(&self, view: &mut View, id: &JobId) {
         let job = &self.jobs[id];
+        view.hopeless.clear();
         for room in &mut view.rooms {
             room.held.retain(|(_, held, _)| held != id);
             let count = job.nominations.iter().filter(|m| **m == room.id).count();
@@ -456,6 +484,11 @@
                 break;
             }
             let Some(plan) = self.best_plan(view, spec) else {
+                // Zones may rule out rooms for this job that others could take.
+                if nominated == 0 && !spec.one_zone && !spec.spread {
+                    let spec = spec.clone();
+                    view.hopeless.push(Hopeless { spec });
+                }
                 break;
             };
             self.nominate(view, id, spec, plan, now);
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -827,3 +827,49 @@
     assert_eq!(stopping(true), 1);
     assert_eq!(stopping(false), 0);
 }
+
+/// With a long queue, whoever still waits after a pass fits nowhere: not a job that
+/// is smaller, more important or less choosy than one that found nothing.
+#[test]
+fn no_job_is_passed_over_for_one_that_found_no_room() {
+    let mut waited = 0;
+    for seed in 0..200 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut c = Cluster::new(8.0);
+        for i in 0..rng.random_range(2..6) {
+            c.machine(&format!("vm-{i}{}", ["a", "b"][i % 2]));
+        }
+        let jobs: Vec<JobSpec> = (0..20)
+            .map(|number| {
+                let kind = [Kind::Array, Kind::Service][rng.random_range(0..2)];
+                let priority = [Priority::Low, Priority::Normal][rng.random_range(0..2)];
+                let (tasks, cpus) = (rng.random_range(1..4), rng.random_range(1..6u32));
+                let zones = [None, None, Some("a".to_owned()), Some("b".to_owned())];
+                JobSpec {
+                    zone: zones[rng.random_range(0..4)].clone(),
+                    team: Arc::from(["red", "blue"][rng.random_range(0..2)]),
+                    ..spec(number, kind, priority, tasks, f64::from(cpus))
+                }
+            })
+            .collect();
+        let ids: Vec<JobId> = jobs.iter().map(|spec| c.job(spec.clone())).collect();
+        c.pass();
+        for (job, id) in jobs.iter().zip(&ids) {
+            if c.leader.jobs[id].waiting_count() == 0 {
+                continue;
+            }
+            waited += 1;
+            for machine in c.leader.machines.values() {
+                let fits = job.need.fits_in(&machine.free())
+                    && job.allows_place(&machine.zone, machine.spot);
+                let held = c
+                    .leader
+                    .jobs
+                    .values()
+                    .any(|j| j.nominations.contains(&machine.id));
+                assert!(!fits || held, "seed {seed}: {id} fits on {}", machine.id);
+            }
+        }
+    }
+    assert!(waited > 500, "{waited}");
+}
