--- a/src/core/drain.rs
+++ b/src/core/drain.rs
@@ -35,9 +35,8 @@
                     return;
                 }
                 self.fleet.next_drain = now + Duration::from_secs(1);
-                // What waits, or waited just now, may need the machine.
                 if self.unresolved() || self.jobs.values().any(|j| j.waiting_count() > 0) {
-                    self.fleet.next_drain = now + Duration::from_secs(5);
+                    self.fleet.waited_at = now;
                     return;
                 }
                 let Some(id) = self.hardly_used(now) else {
@@ -59,6 +58,8 @@
             .machines
             .values()
             .filter(|m| self.usable(m, now) && !m.direct)
+            // What comes next may need it: it is kept as long as an idle one.
+            .filter(|m| now > self.fleet.waited_at + self.idle_time(&m.machine_type))
             .filter(|m| {
                 let used = m.size.minus(&m.free());
                 m.busy() && used.cpus * USED_ONE_IN <= m.size.cpus
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -69,6 +69,8 @@
     next_types: Duration,
     next_plan: Duration,
     pub(super) next_drain: Duration,
+    /// When a task waited last.
+    pub(super) waited_at: Duration,
     next_call: Duration,
     releasing: BTreeSet<MachineId>,
     /// Kinds of machine that were refused, until when they are not asked for again.
@@ -94,6 +96,7 @@
             next_types: Duration::ZERO,
             next_plan: Duration::ZERO,
             next_drain: Duration::ZERO,
+            waited_at: Duration::ZERO,
             next_call: Duration::ZERO,
             releasing: BTreeSet::new(),
             refused: HashMap::new(),
@@ -352,7 +355,7 @@
 
     /// How long a machine may stay idle: what it costs meanwhile is weighed
     /// against the time and money that another one takes to boot.
-    fn idle_time(&self, machine_type: &str) -> Duration {
+    pub(super) fn idle_time(&self, machine_type: &str) -> Duration {
         let boot = self.types.iter().find(|t| &*t.name == machine_type);
         let boot = crate::settings::seconds(boot.map_or(0.0, |t| t.boot_s));
         boot.mul_f64(self.config.options.idle_boots)
