--- /dev/null
+++ b/tests/answers.rs
@@ -0,0 +1,129 @@
+//! Requests that can't be served now are answered at once, with when to come back.
+
+use std::{sync::Arc, time::Duration};
+
+use kiteyard::{
+    core::{
+        Answer, CallId, Clock, Input, Node, Output,
+        config::{Config, Options},
+        fleet::CloudReply,
+        store::{StateReply, StateRequest},
+    },
+    settings::Settings,
+    wire,
+};
+
+const SETTINGS: &str = r#"{
+  "label": "n0", "api_addr": "127.0.0.1:1", "cluster_listen": "127.0.0.1:2",
+  "outside": {"cloud": "127.0.0.1:3", "state": "127.0.0.1:4"},
+  "params": {
+    "zones": ["a"], "teams": [{"name": "red"}],
+    "workers": {"report_s": 1.0, "lease_s": 10.0, "gang_wait_s": 30.0, "gang_peer_s": 5.0, "cancel_s": 30.0},
+    "state": {"rps": 80.0, "write_rps": 30.0, "value_kb": 16.0, "txn_ops": 16},
+    "cloud": {"rps": 8.0, "list_lag_s": 10.0},
+    "resources": {"sockets": 700}
+  }
+}"#;
+
+const JOB: &str = r#"{"uid": "run-000001", "flight": "work", "crew": "red", "shape": "array",
+  "lift": "standard", "strings": 1, "cpus": 1.0, "gpus": 0.0, "mem_gb": 1.0, "sail": "img",
+  "size_gb": 1.0, "same_place": false, "spread": false, "gusts": false, "airtime_s": 1.0,
+  "tether_s": 0.0, "reel_s": 0.0, "landby_s": 60.0}"#;
+
+const FLAVORS: &[u8] =
+    br#"{"frames": [{"label": "m", "cpus": 8.0, "gpus": 0.0, "mem_gb": 32.0, "fields": ["a"]}]}"#;
+
+fn submission() -> Input {
+    let spec = wire::user::parse_submission(JOB.as_bytes()).expect("a good submission");
+    Input::Submit {
+        request: 7,
+        spec: Arc::new(spec),
+    }
+}
+
+fn step(node: &mut Node, ms: u64, input: Input) -> Vec<Output> {
+    let clock = Clock {
+        now: Duration::from_millis(ms),
+        wall_ms: ms,
+    };
+    node.step(clock, input)
+}
+
+fn is_later(outputs: &[Output]) -> bool {
+    outputs.iter().any(|output| {
+        let Output::Answer { request, answer } = output else {
+            return false;
+        };
+        *request == 7 && matches!(answer, Answer::Later { retry } if !retry.is_zero())
+    })
+}
+
+fn state_call(outputs: &[Output], which: fn(&StateRequest) -> bool) -> Option<CallId> {
+    outputs.iter().find_map(|output| match output {
+        Output::State { call, request, .. } if which(request) => Some(*call),
+        _ => None,
+    })
+}
+
+/// A submission is never held back so that its user does not ask again.
+#[test]
+fn a_submission_that_cannot_be_taken_is_answered_in_the_same_step() {
+    let settings = Settings::parse(SETTINGS).expect("good settings");
+    let mut node = Node::new(Config::new(&settings, Options::default()));
+    let is_list = |request: &StateRequest| matches!(request, StateRequest::List { .. });
+    let is_accept = |request: &StateRequest| matches!(request, StateRequest::Txn { conditions, .. } if conditions.len() == 2);
+
+    // Before anything is known.
+    let outputs = step(&mut node, 1, Input::Tick);
+    let load = state_call(&outputs, is_list).expect("the live keys are read");
+    assert!(is_later(&step(&mut node, 2, submission())));
+
+    // While the machine types are unknown.
+    let reply = StateReply::Entries {
+        entries: Vec::new(),
+        more: false,
+        revision: 1,
+    };
+    let outputs = step(&mut node, 3, Input::State { call: load, reply });
+    let types = outputs.iter().find_map(|output| match output {
+        Output::Cloud { call, .. } => Some(*call),
+        _ => None,
+    });
+    let watch = state_call(&outputs, |r| matches!(r, StateRequest::Watch { .. }));
+    assert!(is_later(&step(&mut node, 4, submission())));
+
+    // When the state service refuses the change, or does not answer it.
+    let call = types.expect("machine types are asked for");
+    let reply = CloudReply::Types(wire::cloud::parse_types(FLAVORS).expect("types"));
+    let outputs = step(&mut node, 5, Input::Cloud { call, reply });
+    let stored = outputs.iter().find_map(|output| match output {
+        Output::State {
+            request: StateRequest::Txn { changes, .. },
+            ..
+        } => changes.first().cloned(),
+        _ => None,
+    });
+    let Some(kiteyard::core::store::Change::Put { key, value, .. }) = stored else {
+        panic!("types are stored");
+    };
+    let reply = StateReply::Events {
+        events: vec![kiteyard::core::store::Event {
+            key,
+            value: Some(value),
+            revision: 2,
+        }],
+        revision: 2,
+    };
+    let call = watch.expect("a watch");
+    step(&mut node, 6, Input::State { call, reply });
+    let refused = StateReply::Refused {
+        retry: Some(Duration::from_secs(3)),
+        limited: true,
+    };
+    for (ms, reply) in [(7, refused), (9, StateReply::Unclear)] {
+        let outputs = step(&mut node, ms, submission());
+        let call = state_call(&outputs, is_accept).expect("the job is put");
+        let outputs = step(&mut node, ms + 1, Input::State { call, reply });
+        assert!(is_later(&outputs), "at {ms} ms");
+    }
+}
