--- a/tests/world/sim.rs
+++ b/tests/world/sim.rs
@@ -148,6 +148,10 @@
     watches: Vec<(usize, u64, CallId, StateRequest, Duration)>,
     outage: bool,
     refused: Vec<Duration>,
+    /// Nodes refuse one another's connections until then.
+    peers_apart: Duration,
+    /// The state service answers slowly until then.
+    slow_until: Duration,
     /// Nothing from these nodes gets to the state service, until when.
     unreached: Vec<Duration>,
     cloud_away: Duration,
@@ -202,6 +206,8 @@
             watches: Vec::new(),
             outage: false,
             refused: vec![Duration::ZERO; NODES],
+            peers_apart: Duration::ZERO,
+            slow_until: Duration::ZERO,
             unreached: vec![Duration::ZERO; NODES],
             cloud_away: Duration::ZERO,
             workers: BTreeMap::new(),
@@ -415,7 +421,9 @@
             }
             Output::Peer { to, message } => {
                 let to: usize = to[1..].parse().expect("a node's name");
-                if let Some(at) = self.path(node, to) {
+                if self.now >= self.peers_apart
+                    && let Some(at) = self.path(node, to)
+                {
                     let from = format!("n{node}");
                     let input = Input::Peer { from, message };
                     self.push(at, Event::ToNode(to, self.epochs[to], input));
@@ -525,6 +533,9 @@
 
     fn reply_state(&mut self, node: usize, epoch: u64, call: CallId, mut reply: StateReply) {
         let mut at = self.now + self.delay();
+        if self.now < self.slow_until {
+            at += ms(self.rng.random_range(50..500));
+        }
         if let StateReply::Events { events, .. } = &mut reply {
             match self.sabotage {
                 Sabotage::DeafForCancellations => {
@@ -1118,7 +1129,7 @@
     fn trouble(&mut self) {
         let now = self.now;
         let names: Vec<String> = self.workers.keys().cloned().collect();
-        match self.rng.random_range(0..11) {
+        match self.rng.random_range(0..13) {
             0 | 1 => {
                 let node = self.rng.random_range(0..NODES);
                 self.crash(node);
@@ -1148,6 +1159,8 @@
                     }
                 }
             }
+            10 => self.peers_apart = now + ms(self.rng.random_range(5000..25_000)),
+            11 => self.slow_until = now + ms(self.rng.random_range(5000..25_000)),
             // A zone on its own, or one node that only its zone's workers reach.
             8 | 9 => {
                 let alone = self.rng.random_range(0..NODES);
