--- a/src/core/job.rs
+++ b/src/core/job.rs
@@ -1,30 +1,102 @@
 //! Jobs and their tasks, as every node sees them.
 
-use std::{fmt, sync::Arc};
+use std::{
+    cmp::Ordering,
+    fmt,
+    hash::{Hash, Hasher},
+    sync::Arc,
+};
 
 use serde::{Deserialize, Serialize};
 
 /// A job's name, unique for ever.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct JobId(Arc<str>);
+///
+/// Names are compared for every task of every report, so their first digits are
+/// kept as a number as well, which alone decides most comparisons.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct JobId {
+    lead: u64,
+    text: Arc<str>,
+}
+
+const JOB_PREFIX: &str = "run-";
+/// Digits that `lead` holds.
+const LEAD: usize = 8;
 
 impl JobId {
     /// Only ids of the agreed form are taken, so that an id can stand in a key or a path.
     pub fn parse(text: &str) -> Option<Self> {
-        let digits = text.strip_prefix("run-")?;
-        let fits = (1..=40).contains(&digits.len()) && digits.bytes().all(|b| b.is_ascii_digit());
-        fits.then(|| Self(Arc::from(text)))
+        let digits = text.strip_prefix(JOB_PREFIX)?.as_bytes();
+        let fits = (1..=40).contains(&digits.len()) && digits.iter().all(u8::is_ascii_digit);
+        let mut lead = [0; LEAD];
+        for (to, digit) in lead.iter_mut().zip(digits) {
+            *to = *digit;
+        }
+        fits.then(|| Self {
+            lead: u64::from_be_bytes(lead),
+            text: Arc::from(text),
+        })
     }
 
     pub fn as_str(&self) -> &str {
-        &self.0
+        &self.text
+    }
+
+    /// Nothing follows the digits in `lead`.
+    fn short(&self) -> bool {
+        self.text.len() <= JOB_PREFIX.len() + LEAD
+    }
+}
+
+impl Ord for JobId {
+    /// The order of the texts, so that keys in the state service have it too.
+    fn cmp(&self, other: &Self) -> Ordering {
+        let lead = self.lead.cmp(&other.lead);
+        match self.short() && other.short() {
+            true => lead,
+            false => lead.then_with(|| self.text.cmp(&other.text)),
+        }
+    }
+}
+
+impl PartialOrd for JobId {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl PartialEq for JobId {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl Eq for JobId {}
+
+impl Hash for JobId {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.lead.hash(state);
+    }
+}
+
+impl TryFrom<String> for JobId {
+    type Error = &'static str;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        Self::parse(&text).ok_or("not a job id")
+    }
+}
+
+impl From<JobId> for String {
+    fn from(id: JobId) -> Self {
+        id.text.to_string()
     }
 }
 
 impl fmt::Display for JobId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
+        f.write_str(&self.text)
     }
 }
 
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -426,9 +426,19 @@
         regular: bool,
         now: Duration,
     ) {
-        for reported in &report.tasks {
-            let key = (reported.task.clone(), reported.attempt);
-            self.take_in_task(id, key, reported.phase, now);
+        // Most of a report repeats the one before.
+        let machine = &self.machines[id];
+        let news: Vec<((TaskId, u64), TaskPhase)> = report
+            .tasks
+            .iter()
+            .map(|reported| ((reported.task.clone(), reported.attempt), reported.phase))
+            .filter(|(key, phase)| {
+                let known = machine.tasks.get(key);
+                known.is_none_or(|placement| placement.phase != Phase::Seen(*phase))
+            })
+            .collect();
+        for (key, phase) in news {
+            self.take_in_task(id, key, phase, now);
         }
         let Some(machine) = self.machines.get_mut(id) else {
             return;
@@ -485,6 +495,7 @@
         let machine = self.machines.get_mut(id).expect("known machine");
         let placement = machine.tasks.get_mut(&key).expect("adopted");
         let before = placement.phase;
+        // Listed twice in one report, it has ended but once.
         if before == Phase::Seen(phase) {
             return;
         }
--- a/src/core/queue.rs
+++ b/src/core/queue.rs
@@ -56,6 +56,11 @@
         None
     }
 
+    /// Jobs that wait, parked or not.
+    pub fn len(&self) -> usize {
+        self.queued.len() + self.parked.len()
+    }
+
     pub fn park(&mut self, id: JobId) {
         self.parked.insert(id);
     }
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -532,6 +532,21 @@
     assert_eq!(starts, 1);
 }
 
+/// A garbled report may list a task twice; it ends but once.
+#[test]
+fn a_task_listed_twice_in_a_report_ends_once() {
+    let mut c = Cluster::new(4.0);
+    c.machine("vm-1");
+    let job = c.job(spec(1, Kind::Array, Priority::Normal, 2, 2.0));
+    c.runs("vm-1", &job, 0);
+    let tasks = c.running.get_mut("vm-1").expect("a machine");
+    tasks[0].phase = TaskPhase::Exited(Why::Error);
+    tasks.push(tasks[0].clone());
+    c.report("vm-1");
+    let job = &c.leader.jobs[&job];
+    assert_eq!((job.placed, job.running, job.failures), (0, 0, 1));
+}
+
 /// A result is forgotten by its worker only once it is stored.
 #[test]
 fn a_result_is_kept_at_the_worker_until_it_is_stored() {
@@ -873,3 +888,22 @@
     }
     assert!(waited > 500, "{waited}");
 }
+
+#[test]
+fn ids_are_ordered_as_their_texts_whatever_their_length() {
+    let mut rng = StdRng::seed_from_u64(5);
+    let ids: Vec<JobId> = (0..200)
+        .map(|_| {
+            let digits = rng.random_range(1..=14);
+            let text: String = (0..digits)
+                .map(|_| char::from(b'0' + rng.random_range(0..3)))
+                .collect();
+            JobId::parse(&format!("run-{text}")).expect("an id")
+        })
+        .collect();
+    for a in &ids {
+        for b in &ids {
+            assert_eq!(a.cmp(b), a.as_str().cmp(b.as_str()), "{a} {b}");
+        }
+    }
+}
