--- a/src/core/config.rs
+++ b/src/core/config.rs
@@ -4,6 +4,10 @@
 
 use crate::settings::{Settings, Team, seconds};
 
+/// Of the requests that the state service takes, all nodes' proofs together use
+/// one in so many, and so do the followers' watches.
+const PROOF_SHARE: f64 = 6.0;
+const WATCH_SHARE: f64 = 5.0;
 /// Steady clocks may differ by this share.
 const DRIFT: f64 = 0.001;
 
@@ -48,8 +52,10 @@
     pub leader_silent: Duration,
     /// Least time between two requests that prove this node's copy.
     pub sync_every: Duration,
-    /// Changes a second that the leader may use beside what users cause.
-    pub leader_writes: f64,
+    /// Least time between two watches of a follower; the leader's follow sooner.
+    pub watch_every: Duration,
+    /// Changes a second for everything, users' submissions first.
+    pub writes: f64,
     pub txn_ops: usize,
     /// Bytes that a stored value may have.
     pub value_most: usize,
@@ -89,8 +95,9 @@
             leader_term: leader_ttl.mul_f64(1.0 - 2.0 * DRIFT).saturating_sub(margin),
             leader_silent: seconds(workers.lease_s * 0.55),
             renew_every: (leader_ttl / 8).min(Duration::from_millis(1500)),
-            sync_every: seconds(3.0 * nodes as f64 / params.state.rps),
-            leader_writes: params.state.write_rps * 0.75,
+            sync_every: seconds(PROOF_SHARE * nodes as f64 / params.state.rps),
+            watch_every: seconds(WATCH_SHARE * nodes as f64 / params.state.rps),
+            writes: params.state.write_rps * 0.9,
             txn_ops: params.state.txn_ops,
             value_most: (params.state.value_kb * 1024.0) as usize,
             // Nearly all calls are the leader's; the rest is for lists of types.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -439,9 +439,15 @@
             Purpose::Load { after } => self.loaded(after, reply),
             Purpose::Watch => {
                 self.watching = false;
-                if !self.take_events(reply) {
-                    self.retry_watch = now + BACK_OFF;
-                }
+                // Each change ends the watch of every node, and all of them ask
+                // again: with many small jobs that alone was more than the state
+                // service takes, and submissions were refused. Events gather.
+                let pause = match (self.take_events(reply), self.leads()) {
+                    (false, _) => BACK_OFF,
+                    (true, true) => self.config.watch_every / 4,
+                    (true, false) => self.config.watch_every,
+                };
+                self.retry_watch = now + pause;
             }
             Purpose::Sync => {
                 let proven = self.take_events(reply);
@@ -532,6 +538,7 @@
         match noticed {
             Noticed::JobAdded(id) => self.job_added(&id),
             Noticed::JobRemoved(id) => {
+                self.saves.charge(2.0);
                 if let Some(leader) = &mut self.leader {
                     leader.remove_job(&id, now);
                 }
@@ -546,6 +553,7 @@
     }
 
     fn job_added(&mut self, id: &JobId) {
+        self.saves.charge(1.0);
         if let (Some(leader), Some(job)) = (&mut self.leader, self.mirror.jobs.get(id)) {
             leader.add_job(id, job, job::TaskSet::default());
         }
--- a/src/core/queue.rs
+++ b/src/core/queue.rs
@@ -57,7 +57,7 @@
     }
 
     /// Jobs that wait, parked or not.
-    pub fn len(&self) -> usize {
+    pub fn waiting(&self) -> usize {
         self.queued.len() + self.parked.len()
     }
 
--- a/src/core/saves.rs
+++ b/src/core/saves.rs
@@ -52,20 +52,25 @@
     refilled: Duration,
     in_flight: u32,
     retry: Duration,
+    /// Listings gather until then while changes are short.
+    next_roster: Duration,
 }
 
 const IN_FLIGHT: u32 = 6;
 /// Results are stored together with those that follow within this time.
 const GATHER: Duration = Duration::from_millis(1500);
+/// So are listings, once most of the allowance is used up.
+const GATHER_LISTINGS: Duration = Duration::from_millis(200);
 
 impl Saves {
     pub fn new(config: &Config) -> Self {
         Self {
-            rate: config.leader_writes,
-            allowance: config.leader_writes,
+            rate: config.writes,
+            allowance: config.writes / 2.0,
             refilled: Duration::ZERO,
             in_flight: 0,
             retry: Duration::ZERO,
+            next_roster: Duration::ZERO,
         }
     }
 
@@ -76,7 +81,18 @@
     fn refill(&mut self, now: Duration) {
         let passed = now.saturating_sub(self.refilled).as_secs_f64();
         self.refilled = now;
-        self.allowance = (self.allowance + passed * self.rate).min(self.rate);
+        // Half of a second's worth is left to what users ask for in a burst.
+        self.allowance = (self.allowance + passed * self.rate).min(self.rate / 2.0);
+    }
+
+    /// Changes that users' requests caused, on any node: they come first, and the
+    /// leader makes do with the rest.
+    pub fn charge(&mut self, changes: f64) {
+        self.allowance = (self.allowance - changes).max(-self.rate);
+    }
+
+    fn scarce(&self) -> bool {
+        self.allowance < self.rate / 4.0
     }
 }
 
@@ -165,7 +181,10 @@
         }
 
         // Starts wait for their job to be listed with their machine.
-        if let Some((listings, conditions, changes)) = leader.roster_write(true, most) {
+        if (now >= self.saves.next_roster || !self.saves.scarce())
+            && let Some((listings, conditions, changes)) = leader.roster_write(true, most)
+        {
+            self.saves.next_roster = now + GATHER_LISTINGS;
             return Some((Save::Roster { claim, listings }, conditions, changes));
         }
 
--- a/src/core/sched.rs
+++ b/src/core/sched.rs
@@ -152,7 +152,7 @@
     /// Places what fits, makes room for what does not, and parks the rest.
     pub fn pass(&mut self, now: Duration) {
         self.queue.dirty = false;
-        self.next_pass = now + PASS_EVERY + PASS_PER_JOB * self.queue.len() as u32;
+        self.next_pass = now + PASS_EVERY + PASS_PER_JOB * self.queue.waiting() as u32;
         let places = self.order();
         self.queue.rank(&places);
         let mut view = self.view(now);
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -7,6 +7,7 @@
         Answer, CallId, Clock, Input, Node, Output,
         config::{Config, Options},
         fleet::CloudReply,
+        job::JobId,
         store::{StateReply, StateRequest},
     },
     settings::Settings,
@@ -127,3 +128,74 @@
         assert!(is_later(&outputs), "at {ms} ms");
     }
 }
+
+/// A node that has read the live keys, and its watch.
+fn loaded() -> (Node, CallId) {
+    let settings = Settings::parse(SETTINGS).expect("good settings");
+    let mut node = Node::new(Config::new(&settings, Options::default()));
+    let outputs = step(&mut node, 1, Input::Tick);
+    let call = state_call(&outputs, |r| matches!(r, StateRequest::List { .. }));
+    let call = call.expect("the live keys are read");
+    let reply = StateReply::Entries {
+        entries: Vec::new(),
+        more: false,
+        revision: 1,
+    };
+    let outputs = step(&mut node, 2, Input::State { call, reply });
+    let watch = state_call(&outputs, |r| matches!(r, StateRequest::Watch { .. }));
+    (node, watch.expect("a watch"))
+}
+
+fn is_proof(request: &StateRequest) -> bool {
+    matches!(request, StateRequest::Watch { wait, .. } if wait.is_zero())
+}
+
+/// Polls share one proof, and those that find no room are answered at once.
+#[test]
+fn a_storm_of_polls_costs_one_request_and_waits_in_bounds() {
+    let (mut node, _) = loaded();
+    let id = JobId::parse("run-000001").expect("an id");
+    let (mut proofs, mut refused) = (0, 0);
+    for request in 100..10_100 {
+        let id = id.clone();
+        let outputs = step(&mut node, 10, Input::Status { request, id });
+        proofs += usize::from(state_call(&outputs, is_proof).is_some());
+        refused += outputs
+            .iter()
+            .filter(|o| {
+                matches!(
+                    o,
+                    Output::Answer {
+                        answer: Answer::Later { .. },
+                        ..
+                    }
+                )
+            })
+            .count();
+    }
+    assert_eq!(proofs, 1);
+    assert!((5_000..10_000).contains(&refused), "{refused} refused");
+}
+
+/// Every change ends every node's watch: asking again at once, all of them together
+/// used up the requests that submissions need.
+#[test]
+fn a_watch_that_brought_events_is_not_repeated_at_once() {
+    let (mut node, mut watch) = loaded();
+    let mut watches = 0;
+    for ms in 10..2_010 {
+        let reply = StateReply::Events {
+            events: Vec::new(),
+            revision: ms,
+        };
+        let outputs = step(&mut node, ms, Input::State { call: watch, reply });
+        let next = state_call(
+            &outputs,
+            |r| matches!(r, StateRequest::Watch { wait, .. } if !wait.is_zero()),
+        );
+        watches += usize::from(next.is_some());
+        watch = next.unwrap_or(watch);
+    }
+    // 80 requests a second, of which one in five is for the one node's watch.
+    assert!((10..=33).contains(&watches), "{watches} in 2 s");
+}
