--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -380,6 +380,10 @@
         }
         let now_up = machine.standing == Standing::Up && machine.fenced;
         if new_session {
+            let tasks = self.machines[&id].tasks.len();
+            if tasks > 0 {
+                info!(machine = %id, tasks, "worker's lease ran out");
+            }
             self.session_over(&id, now);
         }
         let machine = self.machines.get_mut(&id)?;
--- a/src/core/pulse.rs
+++ b/src/core/pulse.rs
@@ -48,6 +48,8 @@
 const EVERY: Duration = Duration::from_millis(700);
 /// What another node told stands for so long.
 const FRESH: Duration = Duration::from_millis(2200);
+/// A leader of which two pulses were missed is not heard.
+const MISSED: Duration = Duration::from_millis(1700);
 /// A node that was answered within this time reaches the state service.
 const REACHES: Duration = Duration::from_millis(1600);
 /// One that was not answered for so long is refused.
@@ -82,6 +84,31 @@
         now > self.pulses.state + REFUSED && self.fresh_pulses().any(|pulse| pulse.state < REACHES)
     }
 
+    /// The leader was heard here lately, or is too new to be missed.
+    pub(super) fn hears_leader(&self) -> bool {
+        self.now() < self.pulses.leader.1 + MISSED
+    }
+
+    /// Another node that hears the leader, when this one does not.
+    pub(super) fn hearer(&self) -> Option<String> {
+        let now = self.now();
+        let (record, version) = self.mirror.leader.as_ref()?;
+        let heard = self.pulses.others.iter().find(|(node, (at, pulse))| {
+            let leads = **node == record.node;
+            !leads && pulse.claim == *version && now < *at + MISSED - pulse.heard.min(MISSED)
+        });
+        heard.map(|(node, _)| node.clone())
+    }
+
+    /// Another node that is heard and is not the leader.
+    pub(super) fn other_alive(&self) -> Option<String> {
+        let now = self.now();
+        let leader = self.mirror.leader.as_ref().map(|(record, _)| &record.node);
+        let mut others = self.pulses.others.iter();
+        let alive = others.find(|(node, (at, _))| leader != Some(node) && now < *at + FRESH);
+        alive.map(|(node, _)| node.clone())
+    }
+
     fn fresh_pulses(&self) -> impl Iterator<Item = &Pulse> {
         let now = self.now();
         let others = self.pulses.others.values();
--- a/src/core/relay.rs
+++ b/src/core/relay.rs
@@ -50,10 +50,21 @@
     until: Duration,
 }
 
+/// A report that came while no leader is heard.
+#[derive(Debug)]
+struct Held {
+    request: RequestId,
+    report: WorkerReport,
+    until: Duration,
+}
+
 #[derive(Debug, Default)]
 pub struct Relays {
     next: u64,
     waiting: BTreeMap<u64, Waiting>,
+    held: Vec<Held>,
+    /// Tasks that the held reports list.
+    held_tasks: usize,
     /// Workers that were sent to the leader, and when.
     redirected: HashMap<MachineId, Duration>,
     digest: HashMap<JobId, (u32, u32)>,
@@ -69,6 +80,11 @@
 const DIGEST_EVERY: Duration = Duration::from_secs(1);
 /// Reports under way to the leader at a time.
 const RELAYS_MOST: usize = 512;
+/// Reports that are held at a time, and the tasks that all of them list.
+const HELD_MOST: usize = 512;
+const HELD_TASKS_MOST: usize = 20_000;
+/// How long a report is held: a worker waits 4 s for its answer.
+const HELD_FOR: Duration = Duration::from_millis(3400);
 
 impl Node {
     pub(super) fn report(&mut self, request: RequestId, report: WorkerReport) {
@@ -77,14 +93,8 @@
             self.answer(request, answer.unwrap_or(Answer::Redirect(None)));
             return;
         }
-        let leader = self
-            .mirror
-            .leader
-            .as_ref()
-            .filter(|(record, _)| record.node != self.config.node)
-            .map(|(record, version)| (record.node.clone(), *version));
-        let Some((node, claim)) = leader else {
-            self.answer(request, Answer::Redirect(None));
+        let Some((node, claim)) = self.other_leader() else {
+            self.hold(request, report);
             return;
         };
         let now = self.now();
@@ -101,6 +111,10 @@
             self.worker_stranded();
         }
         let lost_way = knows || sent_before;
+        if lost_way && !self.hears_leader() {
+            self.hold(request, report);
+            return;
+        }
         if !lost_way || self.relays.waiting.len() >= RELAYS_MOST {
             self.relays.redirected.insert(report.machine.clone(), now);
             self.answer(request, Answer::Redirect(Some(node)));
@@ -118,6 +132,58 @@
         });
     }
 
+    /// Another node that leads, and its claim.
+    fn other_leader(&self) -> Option<(String, u64)> {
+        let (record, version) = self.mirror.leader.as_ref()?;
+        (record.node != self.config.node).then(|| (record.node.clone(), *version))
+    }
+
+    /// No leader is heard here. Sent on, a worker would spend the rest of its lease
+    /// on a node that is gone, or going round the others: it is sent to a node that
+    /// hears the leader, or waits here until one leads.
+    fn hold(&mut self, request: RequestId, report: WorkerReport) {
+        let now = self.now();
+        let tasks = report.tasks.len();
+        let full =
+            self.relays.held.len() >= HELD_MOST || self.relays.held_tasks + tasks > HELD_TASKS_MOST;
+        match self.hearer() {
+            Some(node) => self.answer(request, Answer::Redirect(Some(node))),
+            None if full => self.answer(request, Answer::Redirect(None)),
+            None => {
+                self.relays.held_tasks += tasks;
+                self.relays.held.push(Held {
+                    request,
+                    report,
+                    until: now + HELD_FOR,
+                });
+            }
+        }
+    }
+
+    /// Answers the held reports once a leader is heard, or their time is up.
+    fn pump_held(&mut self) {
+        if self.relays.held.is_empty() {
+            return;
+        }
+        let now = self.now();
+        let heard = self.hears_leader() && self.other_leader().is_some();
+        let on = heard || self.leads() || self.hearer().is_some();
+        for held in std::mem::take(&mut self.relays.held) {
+            if on {
+                self.report(held.request, held.report);
+            } else if now >= held.until {
+                // Not to the next node of its list: that may be the one that is gone,
+                // and would cost it most of its lease.
+                let answer = Answer::Redirect(self.other_alive());
+                self.answer(held.request, answer);
+            } else {
+                self.relays.held.push(held);
+            }
+        }
+        let held = self.relays.held.iter();
+        self.relays.held_tasks = held.map(|h| h.report.tasks.len()).sum();
+    }
+
     pub(super) fn peer_message(&mut self, from: String, message: PeerMessage) {
         match message {
             PeerMessage::Report { relay, report } => {
@@ -146,6 +212,7 @@
     }
 
     pub(super) fn pump_relays(&mut self) {
+        self.pump_held();
         let now = self.now();
         while let Some(entry) = self.relays.waiting.first_entry() {
             if now < entry.get().until {
