--- a/tests/world/sim.rs
+++ b/tests/world/sim.rs
@@ -69,6 +69,8 @@
     User(usize),
     Trouble,
     Restart(usize),
+    /// What a process had decided when it was stopped goes out now.
+    Outputs(usize, u64, Vec<Output>),
     OutageEnds,
 }
 
@@ -154,6 +156,11 @@
     slow_until: Duration,
     /// Nothing from these nodes gets to the state service, until when.
     unreached: Vec<Duration>,
+    /// These nodes stand still, until when; the next step of one ends there.
+    frozen: Vec<Duration>,
+    freezes: Vec<Option<Duration>>,
+    /// No worker reaches these nodes, nor they any worker, until when.
+    workers_apart: Vec<Duration>,
     cloud_away: Duration,
     workers: BTreeMap<String, Worker>,
     booting: BTreeMap<String, (usize, bool, Duration)>,
@@ -209,6 +216,9 @@
             peers_apart: Duration::ZERO,
             slow_until: Duration::ZERO,
             unreached: vec![Duration::ZERO; NODES],
+            frozen: vec![Duration::ZERO; NODES],
+            freezes: vec![None; NODES],
+            workers_apart: vec![Duration::ZERO; NODES],
             cloud_away: Duration::ZERO,
             workers: BTreeMap::new(),
             booting: BTreeMap::new(),
@@ -337,6 +347,13 @@
         }
     }
 
+    /// The same between a node and a worker in that zone.
+    fn worker_path(&mut self, node: usize, zone: usize) -> Option<Duration> {
+        let apart = self.workers_apart[node];
+        let at = self.path(node, zone)?;
+        Some(at.max(apart))
+    }
+
     fn restart(&mut self, node: usize) {
         let settings = settings(node);
         let mut config = Config::new(&settings, Options::default());
@@ -350,6 +367,8 @@
             _ => {}
         }
         self.nodes[node] = Some(Node::new(config));
+        self.frozen[node] = Duration::ZERO;
+        self.freezes[node] = None;
         self.epochs[node] += 1;
         self.started[node] = self.now;
         self.paces[node] = 1.0 + self.rng.random_range(0..5) as f64 * 1e-4;
@@ -366,7 +385,15 @@
             return;
         };
         let epoch = self.epochs[node];
-        for output in core.step(clock, input) {
+        let outputs = core.step(clock, input);
+        if let Some(freeze) = self.freezes[node].take_if(|_| !outputs.is_empty()) {
+            // It stops after it has decided, and goes on as if nothing had happened.
+            let until = self.now + freeze;
+            self.frozen[node] = until;
+            self.push(until, Event::Outputs(node, epoch, outputs));
+            return;
+        }
+        for output in outputs {
             self.output(node, epoch, output);
         }
     }
@@ -408,7 +435,7 @@
                 let failed = Event::ToNode(node, epoch, Input::Direct { call, reply });
                 let name = direct.machine.to_string();
                 let zone = self.workers.get(&name).map(|w| w.zone);
-                match zone.and_then(|zone| self.path(node, zone)) {
+                match zone.and_then(|zone| self.worker_path(node, zone)) {
                     Some(at) => {
                         self.push(
                             at,
@@ -433,7 +460,27 @@
     }
 
     fn handle(&mut self, event: Event) {
+        if let Event::Tick(node) | Event::ToNode(node, ..) = event
+            && self.frozen[node] > self.now
+        {
+            self.push(self.frozen[node], event);
+            return;
+        }
         match event {
+            Event::Outputs(node, epoch, outputs) => {
+                for output in outputs {
+                    // Users have given up by now; workers decide for themselves.
+                    let gone = |a: &Asker| matches!(a, Asker::User(..));
+                    if let Output::Answer { request, .. } = &output
+                        && self.asked.get(&(node, epoch, *request)).is_some_and(gone)
+                    {
+                        continue;
+                    }
+                    if self.epochs[node] == epoch {
+                        self.output(node, epoch, output);
+                    }
+                }
+            }
             Event::Tick(node) => {
                 if self.nodes[node].is_some() {
                     self.step(node, Input::Tick);
@@ -864,7 +911,7 @@
         worker.last_sent = now;
         let (node, zone) = (worker.node, worker.zone);
         let report = self.report(name);
-        let at = match self.path(node, zone) {
+        let at = match self.worker_path(node, zone) {
             Some(at) if self.nodes[node].is_some() => at,
             _ => {
                 let worker = self.workers.get_mut(name).expect("known worker");
@@ -942,7 +989,7 @@
                     true => DirectReply::Executed(report),
                     false => DirectReply::Refused(report),
                 };
-                if let Some(at) = self.path(node, zone) {
+                if let Some(at) = self.worker_path(node, zone) {
                     self.push(
                         at,
                         Event::ToNode(node, epoch, Input::Direct { call, reply }),
@@ -1090,7 +1137,7 @@
                 let Some(zone) = self.workers.get(&name).map(|w| w.zone) else {
                     return;
                 };
-                if let Some(at) = self.path(node, zone) {
+                if let Some(at) = self.worker_path(node, zone) {
                     self.push(at, Event::AtWorker(name, ToWorker::Answer(id, answer)));
                 }
             }
@@ -1129,7 +1176,7 @@
     fn trouble(&mut self) {
         let now = self.now;
         let names: Vec<String> = self.workers.keys().cloned().collect();
-        match self.rng.random_range(0..13) {
+        match self.rng.random_range(0..17) {
             0 | 1 => {
                 let node = self.rng.random_range(0..NODES);
                 self.crash(node);
@@ -1159,6 +1206,28 @@
                     }
                 }
             }
+            // A process that stands still, mostly in the middle of a step.
+            13 | 14 => {
+                let node = self.rng.random_range(0..NODES);
+                let freeze = ms([900, 3000, 6000, 14_000, 40_000][self.rng.random_range(0..5)]);
+                match self.rng.random_bool(0.7) {
+                    true => self.freezes[node] = Some(freeze),
+                    false => self.frozen[node] = now + freeze,
+                }
+            }
+            15 => {
+                let node = self.rng.random_range(0..NODES);
+                self.workers_apart[node] = now + ms(self.rng.random_range(3000..25_000));
+            }
+            // Off the network, or without power, for much longer than any lease.
+            16 => {
+                let node = self.rng.random_range(0..NODES);
+                if self.nodes[node].take().is_some() {
+                    self.epochs[node] += 1;
+                    let back = now + ms(self.rng.random_range(20_000..60_000));
+                    self.push(back, Event::Restart(node));
+                }
+            }
             10 => self.peers_apart = now + ms(self.rng.random_range(5000..25_000)),
             11 => self.slow_until = now + ms(self.rng.random_range(5000..25_000)),
             // A zone on its own, or one node that only its zone's workers reach.
