--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -119,6 +119,7 @@
     fn next_cloud_request(&mut self, now: Duration) -> Option<CloudRequest> {
         if now >= self.fleet.next_plan {
             self.fleet.next_plan = now + Duration::from_millis(500);
+            self.value_images();
             self.plan_returns(now);
             self.plan_drain(now);
             self.plan_rentals(now);
@@ -312,8 +313,8 @@
         }
     }
 
-    /// Idle machines that can go without taking the spare room for services, the
-    /// dearest first.
+    /// Idle machines that can go without taking the spare room for services: the
+    /// dearest first, and among them those without images that services want.
     fn idle_machines(&self, now: Duration) -> Vec<MachineId> {
         let mut idle: Vec<&Machine> = self
             .machines
@@ -323,7 +324,8 @@
             .collect();
         idle.sort_by(|a, b| {
             let price = |m: &Machine| self.price(&m.machine_type, m.spot);
-            price(b).total_cmp(&price(a))
+            let dearer = price(b).total_cmp(&price(a));
+            dearer.then(a.image_value.total_cmp(&b.image_value))
         });
         let holds = |spec: &JobSpec, m: &Machine| {
             let may = spec.allows_type(&m.machine_type) && spec.allows_place(&m.zone, m.spot);
--- a/src/core/machine.rs
+++ b/src/core/machine.rs
@@ -239,6 +239,8 @@
     pub tasks: BTreeMap<(TaskId, u64), Placement>,
     /// Images in the machine's cache, as far as seen, with their last use.
     pub images: BTreeMap<Arc<str>, Duration>,
+    /// What those are worth to services, see `value_images`.
+    pub image_value: f64,
     /// Recent failures of tasks here, one entry a job.
     pub failures: Vec<(JobId, Duration)>,
     /// When the cloud's list last showed it.
@@ -281,6 +283,7 @@
             notice_at: None,
             tasks: BTreeMap::new(),
             images: BTreeMap::new(),
+            image_value: 0.0,
             failures: Vec::new(),
             listed_at: None,
             listed_failed: false,
--- a/src/core/sched.rs
+++ b/src/core/sched.rs
@@ -12,7 +12,7 @@
 use super::{
     job::{JobId, JobSpec, Kind, Priority, Resources, TaskId},
     leader::{Leader, Slot},
-    machine::{Machine, MachineId, Standing},
+    machine::{Machine, MachineId, MachineType, Standing},
 };
 
 /// The least time between two passes, and what each job that waits adds to it: a
@@ -20,6 +20,11 @@
 pub const PASS_EVERY: Duration = Duration::from_millis(60);
 const PASS_PER_JOB: Duration = Duration::from_micros(150);
 
+/// An image that takes so many seconds to fetch is worth a cost of one where it is
+/// cached, and all the images of a machine at most so much.
+const LONG_FETCH: f64 = 20.0;
+const IMAGES_MOST: f64 = 4.0;
+
 /// A machine as one pass sees it. A pass looks at every room for most jobs, so
 /// what rules a room out is kept at hand: most are ruled out by numbers alone.
 struct Room {
@@ -431,6 +436,10 @@
             let in_zone = view.zones.get(&machine.zone).copied().unwrap_or(0);
             cost += 4.0 * beside as f64 + f64::from(in_zone);
         }
+        // An empty machine with images of services is left to them.
+        if !machine.has_image(&spec.image) && !machine.busy() {
+            cost += machine.image_value;
+        }
         // What may be taken back is left to those who may use it.
         if spec.spot && !machine.spot {
             cost += 1.0;
@@ -447,6 +456,23 @@
         Some(cost + room.free.cpus / machine.size.cpus.max(1e-9))
     }
 
+    /// Finds out what each machine's cached images are worth to services. A service
+    /// whose image is nowhere else free waits for a fetch as long as it is large, and
+    /// mostly because an array, which could have run anywhere, was there before it.
+    pub fn value_images(&mut self) {
+        let services = self.jobs.values().map(|job| &job.spec);
+        let wanted: HashMap<Arc<str>, f64> = services
+            .filter(|spec| spec.kind == Kind::Service)
+            .map(|spec| (spec.image.clone(), spec.image_gb))
+            .collect();
+        for machine in self.machines.values_mut() {
+            let rate = rate(&self.types, &machine.machine_type);
+            let fetches = machine.images.keys().filter_map(|image| wanted.get(image));
+            let worth = |gb: &f64| (gb / rate / LONG_FETCH).powi(2);
+            machine.image_value = fetches.map(worth).sum::<f64>().min(IMAGES_MOST);
+        }
+    }
+
     /// What it costs to keep a machine, as a share of the dearest.
     fn keeping(&self, machine: &Machine) -> f64 {
         let dearest = self.types.iter().map(|t| t.price).fold(0.0, f64::max);
@@ -458,12 +484,7 @@
         if machine.has_image(&spec.image) {
             return 0.0;
         }
-        let rate = self
-            .types
-            .iter()
-            .find(|t| t.name == machine.machine_type)
-            .map_or(0.1, |t| t.fetch_gb_per_s.max(0.01));
-        let alone = spec.image_gb / rate;
+        let alone = spec.image_gb / rate(&self.types, &machine.machine_type);
         if machine.fetches(&spec.image) {
             return alone * 0.5;
         }
@@ -854,6 +875,12 @@
     }
 }
 
+/// Gigabytes a second that a machine of this type fetches.
+fn rate(types: &[MachineType], machine_type: &str) -> f64 {
+    let known = types.iter().find(|t| &*t.name == machine_type);
+    known.map_or(0.1, |t| t.fetch_gb_per_s.max(0.01))
+}
+
 fn zone_allowed(zones: &BTreeMap<Arc<str>, u32>, zone: &Arc<str>, spec: &JobSpec) -> bool {
     if spec.one_zone && zones.iter().any(|(z, n)| z != zone && *n > 0) {
         return false;
