--- a/src/core/lead.rs
+++ b/src/core/lead.rs
@@ -362,6 +362,7 @@
                 since: self.now(),
                 superseded: record.superseded,
             });
+            self.pass_caches_on();
         }
     }
 
@@ -446,7 +447,9 @@
             roster: taking.roster.unwrap_or_default(),
             resolve_by: self.lead.former_stopped + self.config.worker_lease_bound,
         };
-        self.leader = Some(Leader::new(self.config.clone(), claim, types, found, now));
+        let mut leader = Leader::new(self.config.clone(), claim, types, found, now);
+        leader.recall(std::mem::take(&mut self.caches));
+        self.leader = Some(leader);
     }
 
     fn take_over_page(&mut self, loading: Loading, after: Option<String>) {
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -11,6 +11,7 @@
 use super::{
     config::Config,
     fleet::Fleet,
+    images::Caches,
     job::{JobId, JobSpec, Kind, TaskId, TaskSet},
     machine::{
         Command, Machine, MachineId, MachineType, Phase, Placement, Standing, Stop, TaskPhase, Why,
@@ -137,6 +138,8 @@
     /// How far run times of a class are from their estimates, as a logarithm.
     pub seen: HashMap<Arc<str>, f64>,
     pub roster: Roster,
+    /// What the former leader told of the caches of machines not met yet.
+    pub(super) told: Caches,
     /// Stored results of jobs that are over.
     pub garbage: Vec<String>,
 }
@@ -202,6 +205,7 @@
             wall_ms: 0,
             seen: HashMap::new(),
             roster: Roster::new(config.value_most),
+            told: Caches::default(),
             garbage: Vec::new(),
             types,
             config,
@@ -253,7 +257,9 @@
         now: Duration,
     ) -> &mut Machine {
         if !self.machines.contains_key(id) {
-            let machine = self.machine(id.clone(), machine_type.clone(), zone.clone(), spot, now);
+            let mut machine =
+                self.machine(id.clone(), machine_type.clone(), zone.clone(), spot, now);
+            self.recall_one(&mut machine);
             self.machines.insert(id.clone(), machine);
         }
         self.machines.get_mut(id).expect("just inserted")
@@ -512,8 +518,7 @@
         let placement = placement.clone();
         let has_image = phase.on_machine() || matches!(phase, TaskPhase::Exited(Why::Done));
         if has_image && let Some(spec) = &placement.spec {
-            machine.images.insert(spec.image.clone(), now);
-            self.trim_cache(id, now);
+            self.image_seen(id, spec, now);
         }
         let ran = matches!(before, Phase::Seen(TaskPhase::Running));
         if !placement.foreign
@@ -873,35 +878,6 @@
         })
     }
 
-    fn trim_cache(&mut self, id: &MachineId, now: Duration) {
-        let sizes: HashMap<Arc<str>, f64> = self
-            .jobs
-            .values()
-            .map(|j| (j.spec.image.clone(), j.spec.image_gb))
-            .collect();
-        let Some(machine) = self.machines.get_mut(id) else {
-            return;
-        };
-        let room = self
-            .types
-            .iter()
-            .find(|t| t.name == machine.machine_type)
-            .map_or(0.0, |t| t.cache_gb);
-        let size = |image: &Arc<str>| sizes.get(image).copied().unwrap_or(1.0);
-        let mut held: f64 = machine.images.keys().map(size).sum();
-        while held > room {
-            let oldest = machine
-                .images
-                .iter()
-                .filter(|(_, used)| **used < now)
-                .min_by_key(|(_, used)| **used)
-                .map(|(image, _)| image.clone());
-            let Some(oldest) = oldest else { break };
-            held -= size(&oldest);
-            machine.images.remove(&oldest);
-        }
-    }
-
     /// Done and running tasks of a job, for display.
     pub fn job_counts(&self, id: &JobId) -> Option<(u32, u32)> {
         let job = self.jobs.get(id)?;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,6 +6,7 @@
 pub mod drain;
 pub mod fleet;
 pub mod front;
+pub mod images;
 pub mod job;
 pub mod lead;
 pub mod leader;
@@ -220,6 +221,9 @@
     saves: saves::Saves,
     relays: Relays,
     pulses: pulse::Pulses,
+    /// What the leader told of the machines' caches.
+    caches: images::Caches,
+    next_caches: Duration,
 }
 
 impl Node {
@@ -247,6 +251,8 @@
             finals_order: VecDeque::new(),
             lead: Lead::default(),
             leader: None,
+            caches: images::Caches::default(),
+            next_caches: Duration::ZERO,
             types_call: false,
             retry_types: Duration::ZERO,
         }
@@ -329,6 +335,7 @@
         self.pump_lead();
         self.pump_polls();
         self.pump_relays();
+        self.pump_caches();
         let now = self.now();
         if !self.leads() {
             return;
--- a/src/core/sched.rs
+++ b/src/core/sched.rs
@@ -12,7 +12,7 @@
 use super::{
     job::{JobId, JobSpec, Kind, Priority, Resources, TaskId},
     leader::{Leader, Slot},
-    machine::{Machine, MachineId, MachineType, Standing},
+    machine::{Machine, MachineId, Placement, Standing},
 };
 
 /// The least time between two passes, and what each job that waits adds to it: a
@@ -20,11 +20,6 @@
 pub const PASS_EVERY: Duration = Duration::from_millis(60);
 const PASS_PER_JOB: Duration = Duration::from_micros(150);
 
-/// An image that takes so many seconds to fetch is worth a cost of one where it is
-/// cached, and all the images of a machine at most so much.
-const LONG_FETCH: f64 = 20.0;
-const IMAGES_MOST: f64 = 4.0;
-
 /// A machine as one pass sees it. A pass looks at every room for most jobs, so
 /// what rules a room out is kept at hand: most are ruled out by numbers alone.
 struct Room {
@@ -192,20 +187,25 @@
     fn view(&self, now: Duration) -> View {
         let (mut usage, mut leaving) = (Usage::default(), Usage::default());
         for machine in self.machines.values() {
-            for p in machine.tasks.values().filter(|p| !p.exited()) {
-                match &p.spec {
-                    Some(spec) => {
-                        usage.add(&spec.team, &p.need);
-                        if p.stopping() {
-                            leaving.add(&spec.team, &p.need);
-                        }
-                    }
+            let held: Vec<&Placement> = machine.tasks.values().filter(|p| !p.exited()).collect();
+            // Tasks of one job stand together: a team is looked up once for all.
+            let alike = |a: &&Placement, b: &&Placement| match (&a.spec, &b.spec) {
+                (Some(a), Some(b)) => Arc::ptr_eq(a, b),
+                _ => false,
+            };
+            for tasks in held.chunk_by(alike) {
+                let Some(spec) = &tasks[0].spec else {
                     // Whose it is nobody knows any more: it counts for each team.
-                    None => {
-                        for team in self.config.teams.keys() {
-                            usage.add(team, &p.need);
-                        }
+                    for team in self.config.teams.keys() {
+                        usage.add(team, &tasks[0].need);
                     }
+                    continue;
+                };
+                let sum = |count: usize| Resources::default().plus_times(&spec.need, count as f64);
+                usage.add(&spec.team, &sum(tasks.len()));
+                let stopping = tasks.iter().filter(|p| p.stopping()).count();
+                if stopping > 0 {
+                    leaving.add(&spec.team, &sum(stopping));
                 }
             }
         }
@@ -456,41 +456,12 @@
         Some(cost + room.free.cpus / machine.size.cpus.max(1e-9))
     }
 
-    /// Finds out what each machine's cached images are worth to services. A service
-    /// whose image is nowhere else free waits for a fetch as long as it is large, and
-    /// mostly because an array, which could have run anywhere, was there before it.
-    pub fn value_images(&mut self) {
-        let services = self.jobs.values().map(|job| &job.spec);
-        let wanted: HashMap<Arc<str>, f64> = services
-            .filter(|spec| spec.kind == Kind::Service)
-            .map(|spec| (spec.image.clone(), spec.image_gb))
-            .collect();
-        for machine in self.machines.values_mut() {
-            let rate = rate(&self.types, &machine.machine_type);
-            let fetches = machine.images.keys().filter_map(|image| wanted.get(image));
-            let worth = |gb: &f64| (gb / rate / LONG_FETCH).powi(2);
-            machine.image_value = fetches.map(worth).sum::<f64>().min(IMAGES_MOST);
-        }
-    }
-
     /// What it costs to keep a machine, as a share of the dearest.
     fn keeping(&self, machine: &Machine) -> f64 {
         let dearest = self.types.iter().map(|t| t.price).fold(0.0, f64::max);
         self.price(&machine.machine_type, machine.spot) / dearest.max(1e-9)
     }
 
-    /// About how long the image takes to arrive there.
-    fn fetch_time(&self, machine: &Machine, spec: &JobSpec) -> f64 {
-        if machine.has_image(&spec.image) {
-            return 0.0;
-        }
-        let alone = spec.image_gb / rate(&self.types, &machine.machine_type);
-        if machine.fetches(&spec.image) {
-            return alone * 0.5;
-        }
-        alone * (1.0 + machine.fetching() as f64 * 0.5)
-    }
-
     /// Preemption for the waiting tasks of a job that hold no nomination yet.
     fn make_room(
         &mut self,
@@ -875,12 +846,6 @@
     }
 }
 
-/// Gigabytes a second that a machine of this type fetches.
-fn rate(types: &[MachineType], machine_type: &str) -> f64 {
-    let known = types.iter().find(|t| &*t.name == machine_type);
-    known.map_or(0.1, |t| t.fetch_gb_per_s.max(0.01))
-}
-
 fn zone_allowed(zones: &BTreeMap<Arc<str>, u32>, zone: &Arc<str>, spec: &JobSpec) -> bool {
     if spec.one_zone && zones.iter().any(|(z, n)| z != zone && *n > 0) {
         return false;
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -907,3 +907,29 @@
         }
     }
 }
+
+/// A new leader has seen no task of what idle machines have cached: it goes by what
+/// the former one told, and leaves such a machine to the service whose image it has.
+#[test]
+fn images_that_the_former_leader_told_of_decide_between_rooms() {
+    let mut c = Cluster::new(4.0);
+    let told = r#"{"images": ["one", "two"], "machines": {"vm-1": [1], "vm-3": [0]}}"#;
+    c.leader.recall(serde_json::from_str(told).expect("caches"));
+    for name in ["vm-1", "vm-2", "vm-3"] {
+        c.machine(name);
+    }
+    let service = |number, image, tasks| JobSpec {
+        image: Arc::from(image),
+        image_gb: 15.0,
+        ..spec(number, Kind::Service, Priority::High, tasks, 4.0)
+    };
+    let first = c.job(service(1, "one", 1));
+    c.pass();
+    assert_eq!(c.on(&first), ["vm-3"]);
+    // Another service may need the image that the first machine has.
+    c.job(service(2, "two", 0));
+    c.leader.value_images();
+    let array = c.job(spec(3, Kind::Array, Priority::Normal, 1, 4.0));
+    c.pass();
+    assert_eq!(c.on(&array), ["vm-2"]);
+}
