--- a/src/core/lead.rs
+++ b/src/core/lead.rs
@@ -362,7 +362,7 @@
                 since: self.now(),
                 superseded: record.superseded,
             });
-            self.pass_caches_on();
+            self.pass_hints_on();
         }
     }
 
@@ -448,7 +448,7 @@
             resolve_by: self.lead.former_stopped + self.config.worker_lease_bound,
         };
         let mut leader = Leader::new(self.config.clone(), claim, types, found, now);
-        leader.recall(std::mem::take(&mut self.caches));
+        leader.recall(std::mem::take(&mut self.hints));
         self.leader = Some(leader);
     }
 
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -11,7 +11,7 @@
 use super::{
     config::Config,
     fleet::Fleet,
-    images::Caches,
+    hints::Hints,
     job::{JobId, JobSpec, Kind, TaskId, TaskSet},
     machine::{
         Command, Machine, MachineId, MachineType, Phase, Placement, Standing, Stop, TaskPhase, Why,
@@ -51,6 +51,10 @@
     /// Machines that the job's tasks failed on.
     pub failed_on: BTreeSet<MachineId>,
     pub failures: u32,
+    /// The former leader found that it fails wherever it runs.
+    pub(super) told_faulty: bool,
+    /// Tries since the job was found to fail.
+    probes: u32,
     pub retry_at: Duration,
     /// Machines held for waiting tasks, one entry a task.
     pub nominations: Vec<MachineId>,
@@ -83,6 +87,8 @@
             saving: false,
             failed_on: BTreeSet::new(),
             failures: 0,
+            told_faulty: false,
+            probes: 0,
             retry_at: Duration::ZERO,
             nominations: Vec::new(),
             spec,
@@ -108,9 +114,15 @@
         self.spec.kind != Kind::Service && self.done_count == self.spec.tasks
     }
 
-    /// The job fails wherever it runs, so its failures say nothing of machines.
+    /// The job fails wherever it runs, so its failures say nothing of machines. One
+    /// of which a task is done does not: there the machines are at fault.
     pub fn faulty(&self) -> bool {
-        self.failed_on.len() >= 3
+        self.done_count == 0 && (self.told_faulty || self.failed_on.len() >= 3)
+    }
+
+    /// Of a job that fails everywhere one task at a time is tried.
+    pub fn tries_enough(&self) -> bool {
+        self.faulty() && self.placed > 0
     }
 }
 
@@ -131,6 +143,8 @@
     attempts: u64,
     pub next_pass: Duration,
     pub next_round: Duration,
+    /// When the first parked job is to be tried again.
+    pub(super) next_retry: Option<Duration>,
     pub counts: Counts,
     next_log: Duration,
     /// The time of day.
@@ -138,8 +152,8 @@
     /// How far run times of a class are from their estimates, as a logarithm.
     pub seen: HashMap<Arc<str>, f64>,
     pub roster: Roster,
-    /// What the former leader told of the caches of machines not met yet.
-    pub(super) told: Caches,
+    /// What the former leader told of machines not met yet.
+    pub(super) told: Hints,
     /// Stored results of jobs that are over.
     pub garbage: Vec<String>,
 }
@@ -200,12 +214,13 @@
             attempts: claim << 24,
             next_pass: Duration::ZERO,
             next_round: Duration::ZERO,
+            next_retry: None,
             counts: Counts::default(),
             next_log: Duration::ZERO,
             wall_ms: 0,
             seen: HashMap::new(),
             roster: Roster::new(config.value_most),
-            told: Caches::default(),
+            told: Hints::default(),
             garbage: Vec::new(),
             types,
             config,
@@ -679,18 +694,29 @@
             if job.failed_on.len() < 16 {
                 job.failed_on.insert(id.clone());
             }
+            let failures = job.failures;
             let faulty = job.faulty();
             if faulty {
                 // Its owner must cancel it; until then it is tried ever more seldom.
-                let doublings = job.failures.min(9) as i32 - 3;
-                job.retry_at = now + Duration::from_secs_f64(2f64.powi(doublings.max(0)));
-            }
-            info!(task = %task, machine = %id, failures = job.failures, "task failed");
-            let machine = self.machines.get_mut(id).expect("known machine");
-            if !faulty && !machine.failures.iter().any(|(j, _)| *j == task.job) {
-                machine.failures.push((task.job.clone(), now));
+                if job.placed == 0 {
+                    job.probes += 1;
+                    let wait = Duration::from_secs(1 << job.probes.min(6));
+                    job.retry_at = now + wait;
+                    info!(task = %task, machine = %id, failures, next = ?wait, "job fails everywhere");
+                }
+                job.nominations.clear();
+                self.unmark(&task.job);
+            } else {
+                info!(task = %task, machine = %id, failures, "task failed");
+                let machine = self.machines.get_mut(id).expect("known machine");
+                if !machine.failures.iter().any(|(j, _)| *j == task.job) {
+                    machine.failures.push((task.job.clone(), now));
+                }
             }
         }
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
         if matches!(why, Some(Why::Unknown | Why::Busy)) {
             job.retry_at = now + self.config.report * 2;
         }
@@ -700,6 +726,14 @@
         }
     }
 
+    /// Takes back what a job's failures said of machines before it was found out.
+    /// Two such jobs made good machines look faulty, and they were returned.
+    fn unmark(&mut self, id: &JobId) {
+        for machine in self.machines.values_mut() {
+            machine.failures.retain(|(job, _)| job != id);
+        }
+    }
+
     /// Stops what is left of a gang; it starts again once all of it is gone.
     pub fn break_gang(&mut self, id: &JobId, grace: Duration, now: Duration) {
         let mut unsent = Vec::new();
@@ -821,6 +855,10 @@
     /// time that counts is not now, but when this claim was last known to stand.
     pub fn tick(&mut self, now: Duration) {
         self.log_counts(now);
+        // Where nothing else happens, nothing else would bring it back to the heap.
+        if self.next_retry.take_if(|at| now >= *at).is_some() {
+            self.requeue();
+        }
         let proven = self.proven;
         let lost: Vec<MachineId> = self
             .machines
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,6 +6,7 @@
 pub mod drain;
 pub mod fleet;
 pub mod front;
+pub mod hints;
 pub mod images;
 pub mod job;
 pub mod lead;
@@ -221,9 +222,9 @@
     saves: saves::Saves,
     relays: Relays,
     pulses: pulse::Pulses,
-    /// What the leader told of the machines' caches.
-    caches: images::Caches,
-    next_caches: Duration,
+    /// What the leader told for the next one.
+    hints: hints::Hints,
+    next_hints: Duration,
 }
 
 impl Node {
@@ -251,8 +252,8 @@
             finals_order: VecDeque::new(),
             lead: Lead::default(),
             leader: None,
-            caches: images::Caches::default(),
-            next_caches: Duration::ZERO,
+            hints: hints::Hints::default(),
+            next_hints: Duration::ZERO,
             types_call: false,
             retry_types: Duration::ZERO,
         }
@@ -335,7 +336,7 @@
         self.pump_lead();
         self.pump_polls();
         self.pump_relays();
-        self.pump_caches();
+        self.pump_hints();
         let now = self.now();
         if !self.leads() {
             return;
--- a/src/core/order.rs
+++ b/src/core/order.rs
@@ -31,7 +31,12 @@
     pub fn order(&self) -> HashMap<JobId, usize> {
         let mut first: Vec<(&JobId, &Job)> = Vec::new();
         let mut left: Vec<Entry> = Vec::new();
+        let mut last: Vec<JobId> = Vec::new();
         for (id, job) in self.jobs.iter().filter(|(_, job)| job.waiting_count() > 0) {
+            if job.faulty() {
+                last.push(id.clone());
+                continue;
+            }
             match self.entry(id, job) {
                 Some(entry) => left.push(entry),
                 None => first.push((id, job)),
@@ -68,6 +73,7 @@
         }
         left.sort_by(|a, b| a.work.total_cmp(&b.work).then_with(|| a.id.cmp(&b.id)));
         order.extend(left.into_iter().map(|e| e.id));
+        order.extend(last);
         order
             .into_iter()
             .enumerate()
--- a/src/core/relay.rs
+++ b/src/core/relay.rs
@@ -10,7 +10,7 @@
 
 use super::{
     Answer, Node, Output, RequestId,
-    images::Caches,
+    hints::Hints,
     job::JobId,
     machine::{MachineId, WorkerReport},
     pulse::Pulse,
@@ -39,8 +39,8 @@
     Resigned {
         claim: u64,
     },
-    /// Which images are where.
-    Caches(Caches),
+    /// What the next leader should not have to learn again.
+    Hints(Hints),
     /// Done and running tasks of active jobs.
     Digest {
         jobs: Vec<(JobId, u32, u32)>,
@@ -205,7 +205,7 @@
             PeerMessage::Pulse(pulse) => self.pulse(from, pulse),
             PeerMessage::Resign { claim } => self.resign(from, claim),
             PeerMessage::Resigned { claim } => self.resigned(claim),
-            PeerMessage::Caches(caches) => self.caches_told(caches),
+            PeerMessage::Hints(hints) => self.hints_told(hints),
             PeerMessage::Digest { jobs } => {
                 self.relays.digest = jobs
                     .into_iter()
--- a/src/core/sched.rs
+++ b/src/core/sched.rs
@@ -164,6 +164,10 @@
                 continue;
             }
             if job.retry_at > now || self.held(&id, job) {
+                if job.retry_at > now {
+                    let next = self.next_retry.unwrap_or(Duration::MAX);
+                    self.next_retry = Some(next.min(job.retry_at));
+                }
                 self.queue.park(id);
                 continue;
             }
@@ -283,6 +287,9 @@
         for (_, room) in costs {
             let machine = view.rooms[room].id.clone();
             while self.fits(view, &view.rooms[room], spec, &view.rooms[room].free) {
+                if self.jobs[id].tries_enough() {
+                    return;
+                }
                 let Some(index) = self.jobs.get_mut(id).and_then(|j| j.next_waiting()) else {
                     return;
                 };
@@ -311,7 +318,7 @@
             self.fill_rooms(view, id, spec, now);
         }
         while let Some(index) = self.jobs.get_mut(id).and_then(|j| j.next_waiting()) {
-            if self.over_limit(view, spec, 1) {
+            if self.over_limit(view, spec, 1) || self.jobs[id].tries_enough() {
                 return false;
             }
             let task = TaskId {
@@ -324,7 +331,8 @@
                 self.put(view, room, &machine, task, attempt, now);
                 continue;
             }
-            return self.make_room(view, id, spec, now);
+            // Nobody makes room for one that fails everywhere.
+            return !self.jobs[id].faulty() && self.make_room(view, id, spec, now);
         }
         true
     }
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -933,3 +933,40 @@
     c.pass();
     assert_eq!(c.on(&array), ["vm-2"]);
 }
+
+/// A job that was submitted with a mistake fails on every machine. Its first failures
+/// made good machines look faulty, and all its tasks were tried again each time.
+#[test]
+fn a_job_that_fails_everywhere_is_tried_one_task_at_a_time() {
+    let mut c = Cluster::new(4.0);
+    let names = ["vm-1", "vm-2", "vm-3"];
+    names.iter().for_each(|name| c.machine(name));
+    let broken = c.job(spec(1, Kind::Array, Priority::High, 6, 2.0));
+    for (name, index) in names.iter().zip(0..) {
+        c.runs(name, &broken, index);
+        c.ends(name, &broken, Why::Error);
+    }
+    assert!(c.leader.jobs[&broken].faulty());
+    let marked = c.leader.machines.values().any(|m| !m.failures.is_empty());
+    assert!(!marked, "machines are blamed");
+    c.pass();
+    assert!(c.on(&broken).is_empty());
+    c.now += Duration::from_secs(3);
+    names.iter().for_each(|name| drop(c.report(name)));
+    // Nothing else brings it back to the heap.
+    c.leader.tick(c.now);
+    assert!(c.leader.queue.dirty);
+    c.pass();
+    assert_eq!(c.on(&broken).len(), 1);
+    // It makes nobody leave: what runs elsewhere fills the machines.
+    let healthy = c.job(spec(2, Kind::Array, Priority::Normal, 6, 2.0));
+    c.pass();
+    assert_eq!(c.on(&healthy).len(), 5);
+    assert!(names.iter().all(|name| c.victims(name).is_empty()));
+    // Once a task of it is done, it was the machines.
+    let name = c.on(&broken)[0].clone();
+    c.running.insert(name.clone(), Vec::new());
+    c.starts();
+    c.ends(&name, &broken, Why::Done);
+    assert!(!c.leader.jobs[&broken].faulty());
+}
