--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -503,7 +503,7 @@
                     if !spec.allows_place(zone, spot) || self.fleet.refused.contains_key(&kind) {
                         continue;
                     }
-                    let count = tasks.div_ceil(slots).min(4);
+                    let count = tasks.div_ceil(slots).min(RENT_MOST);
                     let price = if spot { t.spot_price } else { t.price };
                     let cost = price * f64::from(count) / f64::from(tasks.min(slots * count))
                         * (1.0 + t.boot_s / 60.0)
@@ -528,6 +528,9 @@
     }
 }
 
+/// Machines that one request asks for. With few of them calls are what a rush waits
+/// for, with many all of a job's machines would stand in one zone.
+const RENT_MOST: u32 = 16;
 /// Rentals without a final answer at a time.
 const OPEN_MOST: usize = 8;
 /// Waiting work that the machines do within this time needs no new ones.
