--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -460,6 +460,7 @@
             .collect();
         jobs.sort_by_key(|j| (std::cmp::Reverse(j.spec.priority), j.accepted_ms, j.version));
         let mut ahead_cpu_s = 0.0;
+        let mut left = self.limits_left();
         let mut demands = Vec::new();
         for job in jobs {
             let spec = &job.spec;
@@ -475,6 +476,11 @@
                 let wanted = over / (spec.need.cpus.max(0.01) * horizon);
                 tasks = waiting.min(wanted.ceil() as u32);
             }
+            // A machine for what the team may not run would stand idle.
+            if let Some(left) = left.get_mut(&spec.team) {
+                tasks = tasks.min(spec.need.times_in(left));
+                *left = left.plus_times(&spec.need, -f64::from(tasks));
+            }
             if tasks > 0 {
                 demands.push(Demand {
                     spec: spec.clone(),
@@ -485,6 +491,31 @@
         demands
     }
 
+    /// What teams with a limit may still run.
+    fn limits_left(&self) -> HashMap<Arc<str>, Resources> {
+        let most = |limit: f64| if limit > 0.0 { limit } else { f64::INFINITY };
+        let teams = self.config.teams.iter();
+        let mut left: HashMap<Arc<str>, Resources> = teams
+            .map(|(name, team)| {
+                let limit = Resources {
+                    cpus: most(team.cpus_max),
+                    gpus: most(team.gpus_max),
+                    memory_gb: f64::INFINITY,
+                };
+                (name.clone(), limit)
+            })
+            .collect();
+        let tasks = self.machines.values().flat_map(|m| m.tasks.values());
+        for placement in tasks.filter(|p| !p.exited()) {
+            if let Some(spec) = &placement.spec
+                && let Some(left) = left.get_mut(&spec.team)
+            {
+                *left = left.minus(&placement.need);
+            }
+        }
+        left
+    }
+
     /// The cheapest way to hold that many tasks, where the cloud has not refused it.
     fn choose_rental(&mut self, spec: &JobSpec, tasks: u32) -> Option<Rental> {
         let mut in_zone: HashMap<&str, usize> = HashMap::new();
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -10,6 +10,7 @@
 use kiteyard::{
     core::{
         config::{Config, Options},
+        fleet::{CloudReply, CloudRequest},
         job::{JobId, JobRecord, JobSpec, Kind, Priority, Resources, TaskId, TaskSet},
         leader::{Found, Leader, Slot},
         machine::{Command, MachineType, ReportedTask, TaskPhase, Why, WorkerReport},
@@ -970,3 +971,31 @@
     c.ends(&name, &broken, Why::Done);
     assert!(!c.leader.jobs[&broken].faulty());
 }
+
+/// What waits for its team's limit needs no machine: it would stand idle and be paid.
+#[test]
+fn nothing_is_rented_for_what_a_team_may_not_run() {
+    let mut c = Cluster::new(4.0);
+    c.machine("vm-0");
+    c.job(spec(1, Kind::Service, Priority::Normal, 900, 4.0));
+    let mut rented = 0;
+    for _ in 0..200 {
+        c.now += Duration::from_millis(500);
+        let Some(request) = c.leader.cloud_work(c.now) else {
+            continue;
+        };
+        let CloudRequest::Rent(rental) = &request else {
+            continue;
+        };
+        let names = rented..rented + rental.count;
+        rented += rental.count;
+        let machines = names.map(|n| Arc::from(format!("vm-{n:06}"))).collect();
+        c.leader
+            .cloud_reply(&request, CloudReply::Rented(machines), c.now);
+        if rented > 600 {
+            break;
+        }
+    }
+    // The team "red" may use 1000 CPUs.
+    assert_eq!(rented, 250);
+}
