A service with a running replica is not at fault; failures have a module of their own

Cause (found by reading): a service whose replicas failed on three faulty machines in its life counted as one that fails everywhere, and with one replica up none of the others was started again.

--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -51,10 +51,11 @@
     /// Machines that the job's tasks failed on.
     pub failed_on: BTreeSet<MachineId>,
     pub failures: u32,
+    pub(super) failed_at: Duration,
     /// The former leader found that it fails wherever it runs.
     pub(super) told_faulty: bool,
     /// Tries since the job was found to fail.
-    probes: u32,
+    pub(super) probes: u32,
     pub retry_at: Duration,
     /// Machines held for waiting tasks, one entry a task.
     pub nominations: Vec<MachineId>,
@@ -87,6 +88,7 @@
             saving: false,
             failed_on: BTreeSet::new(),
             failures: 0,
+            failed_at: Duration::ZERO,
             told_faulty: false,
             probes: 0,
             retry_at: Duration::ZERO,
@@ -113,17 +115,6 @@
     pub fn complete(&self) -> bool {
         self.spec.kind != Kind::Service && self.done_count == self.spec.tasks
     }
-
-    /// The job fails wherever it runs, so its failures say nothing of machines. One
-    /// of which a task is done does not: there the machines are at fault.
-    pub fn faulty(&self) -> bool {
-        self.done_count == 0 && (self.told_faulty || self.failed_on.len() >= 3)
-    }
-
-    /// Of a job that fails everywhere one task at a time is tried.
-    pub fn tries_enough(&self) -> bool {
-        self.faulty() && self.placed > 0
-    }
 }
 
 /// The picture of one leader, built at its take-over and dropped with its claim.
@@ -685,55 +676,6 @@
         }
     }
 
-    fn failed(&mut self, id: &MachineId, task: &TaskId, why: Option<Why>, now: Duration) {
-        let Some(job) = self.jobs.get_mut(&task.job) else {
-            return;
-        };
-        if why == Some(Why::Error) {
-            job.failures += 1;
-            if job.failed_on.len() < 16 {
-                job.failed_on.insert(id.clone());
-            }
-            let failures = job.failures;
-            let faulty = job.faulty();
-            if faulty {
-                // Its owner must cancel it; until then it is tried ever more seldom.
-                if job.placed == 0 {
-                    job.probes += 1;
-                    let wait = Duration::from_secs(1 << job.probes.min(6));
-                    job.retry_at = now + wait;
-                    info!(task = %task, machine = %id, failures, next = ?wait, "job fails everywhere");
-                }
-                job.nominations.clear();
-                self.unmark(&task.job);
-            } else {
-                info!(task = %task, machine = %id, failures, "task failed");
-                let machine = self.machines.get_mut(id).expect("known machine");
-                if !machine.failures.iter().any(|(j, _)| *j == task.job) {
-                    machine.failures.push((task.job.clone(), now));
-                }
-            }
-        }
-        let Some(job) = self.jobs.get_mut(&task.job) else {
-            return;
-        };
-        if matches!(why, Some(Why::Unknown | Why::Busy)) {
-            job.retry_at = now + self.config.report * 2;
-        }
-        if job.spec.kind == Kind::Gang {
-            let id = task.job.clone();
-            self.break_gang(&id, Duration::ZERO, now);
-        }
-    }
-
-    /// Takes back what a job's failures said of machines before it was found out.
-    /// Two such jobs made good machines look faulty, and they were returned.
-    fn unmark(&mut self, id: &JobId) {
-        for machine in self.machines.values_mut() {
-            machine.failures.retain(|(job, _)| job != id);
-        }
-    }
-
     /// Stops what is left of a gang; it starts again once all of it is gone.
     pub fn break_gang(&mut self, id: &JobId, grace: Duration, now: Duration) {
         let mut unsent = Vec::new();
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -4,6 +4,7 @@
 pub mod commands;
 pub mod config;
 pub mod drain;
+pub mod failures;
 pub mod fleet;
 pub mod front;
 pub mod hints;
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -999,3 +999,21 @@
     // The team "red" may use 1000 CPUs.
     assert_eq!(rented, 250);
 }
+
+/// Replicas that fail now and then, on faulty machines, are started again at once:
+/// their service is none that fails everywhere.
+#[test]
+fn a_service_with_a_running_replica_is_not_at_fault() {
+    let mut c = Cluster::new(4.0);
+    let names = ["vm-1", "vm-2", "vm-3", "vm-4"];
+    names.iter().for_each(|name| c.machine(name));
+    let service = c.job(spec(1, Kind::Service, Priority::High, 4, 4.0));
+    c.runs("vm-4", &service, 3);
+    for (name, index) in names.iter().zip(0..3) {
+        c.runs(name, &service, index);
+        c.ends(name, &service, Why::Error);
+    }
+    assert!(!c.leader.jobs[&service].faulty());
+    c.pass();
+    assert_eq!(c.on(&service).len(), 4);
+}
