--- a/src/core/lead.rs
+++ b/src/core/lead.rs
@@ -73,6 +73,10 @@
 }
 
 impl Lead {
+    pub fn acts_until(&self) -> Duration {
+        self.valid_until
+    }
+
     pub fn token(&self) -> Option<u64> {
         self.claim.map(|claim| claim << 16)
     }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -123,6 +123,40 @@
     },
 }
 
+impl Output {
+    /// What becomes of this when the leader's term was over before it could go out:
+    /// it may be sent all the same, changed, or turns into news for the node.
+    ///
+    /// A process that stood still in the middle of a step goes on as if no time had
+    /// passed. Writes depend on the claim and may go out; commands may not.
+    pub fn withheld(self) -> Result<Output, Box<Input>> {
+        match self {
+            Output::Answer {
+                request,
+                answer: Answer::Commands { .. },
+            } => Ok(Output::Answer {
+                request,
+                answer: Answer::Redirect(None),
+            }),
+            Output::Peer {
+                to,
+                message: PeerMessage::Reported { relay, .. },
+            } => Ok(Output::Peer {
+                to,
+                message: PeerMessage::Reported {
+                    relay,
+                    answer: None,
+                },
+            }),
+            Output::Direct { call, .. } => Err(Box::new(Input::Direct {
+                call,
+                reply: DirectReply::Unclear,
+            })),
+            other => Ok(other),
+        }
+    }
+}
+
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Answer {
     Accepted(JobId),
@@ -297,6 +331,11 @@
         std::mem::take(&mut self.out)
     }
 
+    /// Until then what a step has decided as the leader may go out.
+    pub fn acts_until(&self) -> Duration {
+        self.lead.acts_until()
+    }
+
     fn now(&self) -> Duration {
         self.clock.now
     }
--- a/src/io/client.rs
+++ b/src/io/client.rs
@@ -109,6 +109,11 @@
 }
 
 impl Client {
+    /// News for the node from this side, after what is under way.
+    pub fn tell(&self, input: Input) {
+        let _ = self.results.send(input);
+    }
+
     /// Commands straight to a worker.
     pub fn direct(&self, call: CallId, direct: &Direct) {
         let body = wire::worker::commands(direct.token, Some(direct.session), &direct.commands);
--- a/src/io/mod.rs
+++ b/src/io/mod.rs
@@ -94,7 +94,21 @@
             wall_ms: wall.as_millis() as u64,
         };
         let outputs = self.node.borrow_mut().step(clock, input);
+        let until = self.node.borrow().acts_until();
         for output in outputs {
+            // Time is looked at again: the process may have stood still meanwhile.
+            let late = clock.now < until && self.started.elapsed() >= until;
+            let output = match late {
+                true => output.withheld(),
+                false => Ok(output),
+            };
+            let output = match output {
+                Ok(output) => output,
+                Err(input) => {
+                    self.client.tell(*input);
+                    continue;
+                }
+            };
             match output {
                 Output::Answer { request, answer } => {
                     if let Some(waiting) = self.waiting.borrow_mut().remove(&request) {
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -9,7 +9,8 @@
         config::{Config, Options},
         fleet::CloudReply,
         job::JobId,
-        machine::WorkerReport,
+        leader::Direct,
+        machine::{DirectReply, WorkerReport},
         mirror::LeaderRecord,
         pulse::Pulse,
         relay::PeerMessage,
@@ -269,3 +270,52 @@
     let outputs = step(&mut node, 7_500, Input::State { call: watch, reply });
     assert_eq!(answered(&outputs), to("n2").map(|answer| (2, answer)));
 }
+
+/// A process that stood still after it had decided commands nobody when it goes on.
+#[test]
+fn commands_are_withheld_once_the_term_is_over() {
+    let commands = Answer::Commands {
+        token: 5 << 16,
+        commands: Vec::new(),
+    };
+    let answer = |answer| Output::Answer { request: 7, answer };
+    let Ok(Output::Answer { answer: sent, .. }) = answer(commands.clone()).withheld() else {
+        panic!("the worker is answered");
+    };
+    assert_eq!(sent, Answer::Redirect(None));
+    let relayed = PeerMessage::Reported {
+        relay: 3,
+        answer: Some(commands),
+    };
+    let to = "n1".to_owned();
+    let message = relayed;
+    let Ok(Output::Peer { message, .. }) = (Output::Peer { to, message }).withheld() else {
+        panic!("the other node is answered");
+    };
+    assert!(matches!(
+        message,
+        PeerMessage::Reported {
+            relay: 3,
+            answer: None
+        }
+    ));
+    let direct = Direct {
+        machine: Arc::from("vm-1"),
+        addr: "127.0.0.1:9".parse().expect("an address"),
+        token: 5 << 16,
+        session: 1,
+        commands: Vec::new(),
+    };
+    let withheld = Output::Direct { call: 4, direct }.withheld();
+    let unclear = |input: Box<Input>| {
+        let reply = DirectReply::Unclear;
+        format!("{input:?}") == format!("{:?}", Input::Direct { call: 4, reply })
+    };
+    assert!(withheld.is_err_and(unclear));
+    // What users are told does not rest on leading.
+    assert!(is_later(&[answer(Answer::Later {
+        retry: Duration::from_secs(1)
+    })
+    .withheld()
+    .expect("an answer")]));
+}
