--- a/src/core/config.rs
+++ b/src/core/config.rs
@@ -52,7 +52,7 @@
     pub leader_silent: Duration,
     /// Least time between two requests that prove this node's copy.
     pub sync_every: Duration,
-    /// Least time between two watches of a follower; the leader's follow sooner.
+    /// Least time between two watches of a follower; the leader's follow at once.
     pub watch_every: Duration,
     /// Changes a second for everything, users' submissions first.
     pub writes: f64,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -489,10 +489,11 @@
                 self.watching = false;
                 // Each change ends the watch of every node, and all of them ask
                 // again: with many small jobs that alone was more than the state
-                // service takes, and submissions were refused. Events gather.
+                // service takes, and submissions were refused. Events gather, but for the
+                // leader: what it learns late starts late.
                 let pause = match (self.take_events(reply), self.leads()) {
                     (false, _) => BACK_OFF,
-                    (true, true) => self.config.watch_every / 4,
+                    (true, true) => Duration::ZERO,
                     (true, false) => self.config.watch_every,
                 };
                 self.retry_watch = now + pause;
--- a/src/core/queue.rs
+++ b/src/core/queue.rs
@@ -56,11 +56,6 @@
         None
     }
 
-    /// Jobs that wait, parked or not.
-    pub fn waiting(&self) -> usize {
-        self.queued.len() + self.parked.len()
-    }
-
     pub fn park(&mut self, id: JobId) {
         self.parked.insert(id);
     }
--- a/src/core/saves.rs
+++ b/src/core/saves.rs
@@ -52,25 +52,20 @@
     refilled: Duration,
     in_flight: u32,
     retry: Duration,
-    /// Listings gather until then while changes are short.
-    next_roster: Duration,
 }
 
 const IN_FLIGHT: u32 = 6;
 /// Results are stored together with those that follow within this time.
 const GATHER: Duration = Duration::from_millis(1500);
-/// So are listings, once most of the allowance is used up.
-const GATHER_LISTINGS: Duration = Duration::from_millis(200);
 
 impl Saves {
     pub fn new(config: &Config) -> Self {
         Self {
             rate: config.writes,
-            allowance: config.writes / 2.0,
+            allowance: config.writes,
             refilled: Duration::ZERO,
             in_flight: 0,
             retry: Duration::ZERO,
-            next_roster: Duration::ZERO,
         }
     }
 
@@ -81,8 +76,7 @@
     fn refill(&mut self, now: Duration) {
         let passed = now.saturating_sub(self.refilled).as_secs_f64();
         self.refilled = now;
-        // Half of a second's worth is left to what users ask for in a burst.
-        self.allowance = (self.allowance + passed * self.rate).min(self.rate / 2.0);
+        self.allowance = (self.allowance + passed * self.rate).min(self.rate);
     }
 
     /// Changes that users' requests caused, on any node: they come first, and the
@@ -90,10 +84,6 @@
     pub fn charge(&mut self, changes: f64) {
         self.allowance = (self.allowance - changes).max(-self.rate);
     }
-
-    fn scarce(&self) -> bool {
-        self.allowance < self.rate / 4.0
-    }
 }
 
 impl Node {
@@ -181,10 +171,7 @@
         }
 
         // Starts wait for their job to be listed with their machine.
-        if (now >= self.saves.next_roster || !self.saves.scarce())
-            && let Some((listings, conditions, changes)) = leader.roster_write(true, most)
-        {
-            self.saves.next_roster = now + GATHER_LISTINGS;
+        if let Some((listings, conditions, changes)) = leader.roster_write(true, most) {
             return Some((Save::Roster { claim, listings }, conditions, changes));
         }
 
--- a/src/core/sched.rs
+++ b/src/core/sched.rs
@@ -15,10 +15,8 @@
     machine::{Machine, MachineId, Placement, Standing},
 };
 
-/// The least time between two passes, and what each job that waits adds to it: a
-/// pass looks at all of them, and any end of a task asks for one.
+/// The least time between two passes.
 pub const PASS_EVERY: Duration = Duration::from_millis(60);
-const PASS_PER_JOB: Duration = Duration::from_micros(150);
 
 /// A machine as one pass sees it. A pass looks at every room for most jobs, so
 /// what rules a room out is kept at hand: most are ruled out by numbers alone.
@@ -152,7 +150,7 @@
     /// Places what fits, makes room for what does not, and parks the rest.
     pub fn pass(&mut self, now: Duration) {
         self.queue.dirty = false;
-        self.next_pass = now + PASS_EVERY + PASS_PER_JOB * self.queue.waiting() as u32;
+        self.next_pass = now + PASS_EVERY;
         let places = self.order();
         self.queue.rank(&places);
         let mut view = self.view(now);
