Listings take turns, writes wait for no round, work goes in as fast as it starts

Counted by what it waits for, up to 8,449 tasks held room while their job was not listed with their machine: writes went out once a round only, six at a time, and a round is rarer the more machines there are (0.62 s there); and of the shards due the lowest numbers came first, so that the last ones never had their turn. Tasks there kept their machines busy for ever, results were not stored, and nothing recovered. Change: an answered write wakes the next one; the shard whose last write is longest ago comes first; a shard's size is kept, not summed for every new machine; what holds room without running is counted apart in the log, and no more of a priority is let in while more has waited for a whole report interval than started in one.

--- /dev/null
+++ b/src/core/flow.rs
@@ -0,0 +1,128 @@
+//! What holds room without running, and whether more may be let in.
+//!
+//! A task that was given a machine holds its room from then on, but starts only when
+//! its job is listed there, which takes a write of the state service. Where more is
+//! let in than gets out, machines fill up with tasks that wait, and whatever should
+//! run waits for the room they hold. So work goes in at the rate at which it starts:
+//! when more has been waiting too long than started in the same time, no more of the
+//! same or a lower priority goes in until the rest is through.
+
+use std::time::Duration;
+
+use super::{
+    job::Priority,
+    leader::Leader,
+    machine::{Phase, Standing, TaskPhase},
+};
+
+/// Starts that were confirmed, over the last one to two spans of time.
+#[derive(Debug)]
+pub struct Flow {
+    span: Duration,
+    since: Duration,
+    now: usize,
+    before: usize,
+}
+
+impl Flow {
+    pub fn new(span: Duration) -> Self {
+        Self {
+            span: span.max(Duration::from_millis(1)),
+            since: Duration::ZERO,
+            now: 0,
+            before: 0,
+        }
+    }
+
+    fn turn(&mut self, now: Duration) {
+        let spans = now.saturating_sub(self.since).as_millis() / self.span.as_millis().max(1);
+        if spans > 0 {
+            self.before = if spans == 1 { self.now } else { 0 };
+            self.now = 0;
+            self.since = now;
+        }
+    }
+
+    pub fn started(&mut self, now: Duration) {
+        self.turn(now);
+        self.now += 1;
+    }
+
+    /// Starts within about the last span.
+    pub fn lately(&mut self, now: Duration) -> usize {
+        self.turn(now);
+        self.now.max(self.before)
+    }
+}
+
+/// How much holds its room without running, by what it waits for.
+#[derive(Debug, Default, Clone, Copy, PartialEq)]
+pub struct Holding {
+    /// Decided, and the job is not listed with the machine yet.
+    pub unlisted: usize,
+    /// Listed, in no message yet.
+    pub unsent: usize,
+    /// Sent, in no report yet.
+    pub unconfirmed: usize,
+    pub fetching: usize,
+    /// Told to stop, and not gone.
+    pub stopping: usize,
+    /// Over, with a result that is not stored. These hold no room.
+    pub unstored: usize,
+    /// Machines that are held by nominations.
+    pub nominated: usize,
+}
+
+impl Leader {
+    pub fn holding(&self) -> Holding {
+        let mut holding = Holding::default();
+        for machine in self.machines.values() {
+            for ((task, _), p) in &machine.tasks {
+                match p.phase {
+                    Phase::Seen(phase) if phase.exited() => holding.unstored += 1,
+                    _ if p.stopping() => holding.stopping += 1,
+                    Phase::Decided if !machine.entry.jobs.contains(&task.job) => {
+                        holding.unlisted += 1;
+                    }
+                    Phase::Decided => holding.unsent += 1,
+                    Phase::Sent { .. } => holding.unconfirmed += 1,
+                    Phase::Seen(TaskPhase::Fetching) => holding.fetching += 1,
+                    Phase::Seen(_) => {}
+                }
+            }
+        }
+        holding.nominated = self.jobs.values().map(|j| j.nominations.len()).sum();
+        holding
+    }
+
+    /// The highest priority that nothing more is let in of, if any: more of it, and of
+    /// what is above it, has waited for a whole span than started in one.
+    pub(super) fn held_up(&mut self, now: Duration) -> Option<Priority> {
+        let span = self.flow.span;
+        let mut late = [0; Priority::ALL.len()];
+        for machine in self.machines.values() {
+            if machine.standing != Standing::Up {
+                continue;
+            }
+            for p in machine.tasks.values() {
+                if p.phase == Phase::Decided
+                    && now > p.since + span
+                    && let Some(spec) = &p.spec
+                {
+                    late[spec.priority as usize] += 1;
+                }
+            }
+        }
+        let starts = self.flow.lately(now);
+        let mut sum = 0;
+        let mut held = None;
+        for priority in Priority::ALL.into_iter().rev() {
+            sum += late[priority as usize];
+            if sum > starts {
+                held = Some(priority);
+                break;
+            }
+        }
+        held
+    }
+}
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -11,6 +11,7 @@
 use super::{
     config::Config,
     fleet::Fleet,
+    flow::Flow,
     hints::Hints,
     job::{JobId, JobSpec, Kind, TaskId, TaskSet},
     machine::{
@@ -143,6 +144,10 @@
     /// How far run times of a class are from their estimates, as a logarithm.
     pub seen: HashMap<Arc<str>, f64>,
     pub roster: Roster,
+    /// How fast tasks start.
+    pub flow: Flow,
+    /// What is let in no more, see `held_up`.
+    pub(super) shut: Option<super::job::Priority>,
     /// What the former leader told of machines not met yet.
     pub(super) told: Hints,
     /// Stored results of jobs that are over.
@@ -211,6 +216,8 @@
             wall_ms: 0,
             seen: HashMap::new(),
             roster: Roster::new(config.value_most),
+            flow: Flow::new(config.report),
+            shut: None,
             told: Hints::default(),
             garbage: Vec::new(),
             types,
@@ -511,6 +518,9 @@
         let machine = self.machines.get_mut(id).expect("known machine");
         let placement = machine.tasks.get_mut(&key).expect("adopted");
         let before = placement.phase;
+        if matches!(before, Phase::Sent { .. }) && !adopted {
+            self.flow.started(now);
+        }
         // Listed twice in one report, it has ended but once.
         if before == Phase::Seen(phase) {
             return;
@@ -764,7 +774,6 @@
         let booting = self.machines.len() - up.len();
         let cpus: f64 = up.iter().map(|m| m.size.cpus).sum();
         let free: f64 = up.iter().map(|m| m.free().cpus).sum();
-        let fetching: usize = up.iter().map(|m| m.fetching()).sum();
         let waiting: u32 = self.jobs.values().map(|j| j.waiting_count()).sum();
         let Counts {
             starts,
@@ -778,7 +787,6 @@
             booting,
             cpus,
             free,
-            fetching,
             jobs = self.jobs.len(),
             waiting,
             starts,
@@ -788,6 +796,19 @@
             lost,
             "counts"
         );
+        let holding = self.holding();
+        debug!(
+            unlisted = holding.unlisted,
+            unsent = holding.unsent,
+            unconfirmed = holding.unconfirmed,
+            fetching = holding.fetching,
+            stopping = holding.stopping,
+            unstored = holding.unstored,
+            nominated = holding.nominated,
+            started = self.flow.lately(now),
+            shut = ?self.shut,
+            "holding"
+        );
     }
 
     /// What time brings: leases that are over, and silent machines proven empty.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,6 +6,7 @@
 pub mod drain;
 pub mod failures;
 pub mod fleet;
+pub mod flow;
 pub mod front;
 pub mod hints;
 pub mod images;
@@ -389,6 +390,11 @@
         // What follows looks at every machine, and reports come by the hundred a
         // second: it is done for all that came meanwhile.
         if now < leader.next_round {
+            // Writes do not wait for the round, or the larger the fleet the fewer
+            // would go out.
+            if self.saves.woken {
+                self.pump_saves();
+            }
             return;
         }
         leader.next_round = now + ROUND + ROUND_PER_MACHINE * leader.machines.len() as u32;
--- a/src/core/roster.rs
+++ b/src/core/roster.rs
@@ -77,13 +77,19 @@
     /// A write was not answered, so the key is read before the next one.
     unsure: bool,
     members: BTreeSet<MachineId>,
+    /// What its members are expected to take of the value.
+    taken: usize,
     /// A machine that is gone is still listed.
     stale: bool,
+    /// The number of its last write.
+    turn: u64,
 }
 
 #[derive(Debug)]
 pub struct Roster {
     shards: BTreeMap<u32, Shard>,
+    /// Writes so far.
+    turns: u64,
     /// Bytes that a value may have.
     value_most: usize,
 }
@@ -112,6 +118,10 @@
 const SHARE: usize = 32;
 const SHARE_PER_CPU: f64 = 8.0;
 
+fn share(machine: &Machine) -> usize {
+    SHARE + (machine.size.cpus.max(0.0) * SHARE_PER_CPU) as usize
+}
+
 impl Builder {
     fn new() -> Self {
         Self {
@@ -168,6 +178,7 @@
     pub fn new(value_most: usize) -> Self {
         Self {
             shards: BTreeMap::new(),
+            turns: 0,
             value_most,
         }
     }
@@ -175,7 +186,9 @@
     /// The machine does not exist any more.
     pub fn gone(&mut self, machine: &Machine) {
         if let Some(shard) = machine.entry.shard.and_then(|s| self.shards.get_mut(&s)) {
-            shard.members.remove(&machine.id);
+            if shard.members.remove(&machine.id) {
+                shard.taken = shard.taken.saturating_sub(share(machine));
+            }
             shard.stale |= machine.entry.stored;
         }
     }
@@ -202,28 +215,31 @@
     }
 
     /// The shard for one more machine: the emptiest that has room left.
-    fn shard_for(&mut self, machines: &BTreeMap<MachineId, Machine>, machine: &Machine) -> u32 {
-        let share = |m: &Machine| SHARE + (m.size.cpus.max(0.0) * SHARE_PER_CPU) as usize;
+    fn shard_for(&mut self, machine: &Machine) -> u32 {
         let room = self.value_most / 4 * 3;
         let chosen = self
             .shards
             .iter()
-            .map(|(id, shard)| {
-                let members = shard.members.iter().filter_map(|id| machines.get(id));
-                (members.map(share).sum::<usize>(), *id)
-            })
+            .map(|(id, shard)| (shard.taken, *id))
             .filter(|(taken, _)| taken + share(machine) <= room)
             .min();
         let id = match chosen {
             Some((_, id)) => id,
             None => (0..).find(|id| !self.shards.contains_key(id)).unwrap_or(0),
         };
-        let shard = self.shards.entry(id).or_default();
-        shard.members.insert(machine.id.clone());
+        self.shards.entry(id).or_default().join(machine);
         id
     }
 }
 
+impl Shard {
+    fn join(&mut self, machine: &Machine) {
+        if self.members.insert(machine.id.clone()) {
+            self.taken += share(machine);
+        }
+    }
+}
+
 impl Leader {
     /// What a take-over found in one shard.
     pub fn enroll(&mut self, id: u32, record: &ShardRecord, version: u64, now: Duration) {
@@ -240,13 +256,13 @@
                 jobs,
             } = found;
             let machine = self.meet(&name, &machine_type, &zone, spot, now);
+            shard.join(machine);
             machine.unresolved = true;
             machine.entry = RosterEntry {
                 shard: Some(id),
                 jobs,
                 stored: true,
             };
-            shard.members.insert(name);
         }
         self.roster.shards.insert(id, shard);
     }
@@ -265,6 +281,8 @@
             let (listing, record) = self.list_shard(id);
             let shard = self.roster.shards.get_mut(&id)?;
             shard.stale = false;
+            self.roster.turns += 1;
+            shard.turn = self.roster.turns;
             if listing.empty && shard.version == 0 {
                 continue;
             }
@@ -288,8 +306,12 @@
         (!listings.is_empty()).then_some((listings, conditions, changes))
     }
 
-    /// Shards that have to be written.
-    fn due_shards(&mut self, urgent: bool) -> BTreeSet<u32> {
+    /// Shards that have to be written, the one whose last write is longest ago first.
+    ///
+    /// In the order of their numbers, the first ones were due again before the last
+    /// ones had their turn: machines of the last ones were given tasks that never
+    /// started, and held their place.
+    fn due_shards(&mut self, urgent: bool) -> Vec<u32> {
         let mut due = BTreeSet::new();
         let wanting: Vec<MachineId> = self
             .machines
@@ -310,7 +332,7 @@
             let machine = &self.machines[&id];
             let shard = match machine.entry.shard {
                 Some(shard) => shard,
-                None => self.roster.shard_for(&self.machines, machine),
+                None => self.roster.shard_for(machine),
             };
             let machine = self.machines.get_mut(&id).expect("just seen");
             machine.entry.shard = Some(shard);
@@ -320,10 +342,10 @@
             let stale = self.roster.shards.iter().filter(|(_, s)| s.stale);
             due.extend(stale.map(|(id, _)| *id));
         }
-        due.retain(|id| {
-            let shard = self.roster.shards.get(id);
-            shard.is_some_and(|s| !s.writing && !s.unsure)
-        });
+        let shards = &self.roster.shards;
+        due.retain(|id| shards.get(id).is_some_and(|s| !s.writing && !s.unsure));
+        let mut due: Vec<u32> = due.into_iter().collect();
+        due.sort_by_key(|id| (shards[id].turn, *id));
         due
     }
 
@@ -377,6 +399,10 @@
     }
 
     pub fn roster_written(&mut self, listings: Vec<Listing>, reply: &StateReply) {
+        if self.shut.is_some() && matches!(reply, StateReply::Committed { .. }) {
+            // Nothing else may happen that brings the parked back to the heap.
+            self.requeue();
+        }
         for listing in listings {
             let Some(shard) = self.roster.shards.get_mut(&listing.shard) else {
                 continue;
--- a/src/core/saves.rs
+++ b/src/core/saves.rs
@@ -52,6 +52,8 @@
     refilled: Duration,
     in_flight: u32,
     retry: Duration,
+    /// A write was answered: what waited for it goes out at once.
+    pub(super) woken: bool,
 }
 
 const IN_FLIGHT: u32 = 6;
@@ -66,6 +68,7 @@
             refilled: Duration::ZERO,
             in_flight: 0,
             retry: Duration::ZERO,
+            woken: false,
         }
     }
 
@@ -90,6 +93,7 @@
     pub(super) fn pump_saves(&mut self) {
         let now = self.now();
         self.saves.refill(now);
+        self.saves.woken = false;
         while self.saves.in_flight < IN_FLIGHT && now >= self.saves.retry {
             // One change has to be affordable; a larger transaction borrows.
             if self.saves.allowance < 1.0 {
@@ -234,6 +238,7 @@
             return;
         };
         self.saves.in_flight = self.saves.in_flight.saturating_sub(1);
+        self.saves.woken = true;
         match save {
             Save::Roster { listings, .. } => leader.roster_written(listings, &reply),
             Save::Reread { shard, .. } => {
--- a/src/core/sched.rs
+++ b/src/core/sched.rs
@@ -154,6 +154,7 @@
         let places = self.order();
         self.queue.rank(&places);
         let mut view = self.view(now);
+        self.shut = self.held_up(now);
         while let Some(id) = self.queue.pop() {
             let Some(job) = self.jobs.get(&id) else {
                 continue;
@@ -170,6 +171,10 @@
                 continue;
             }
             let spec = job.spec.clone();
+            if self.shut.is_some_and(|shut| spec.priority <= shut) {
+                self.queue.park(id);
+                continue;
+            }
             // A nominated job may have room that is held for itself alone.
             if job.nominations.is_empty() && view.hopeless.iter().any(|h| h.covers(&spec)) {
                 self.queue.park(id);
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -1017,3 +1017,70 @@
     c.pass();
     assert_eq!(c.on(&service).len(), 4);
 }
+
+/// Listings of the first shards were always due again before the last ones had their
+/// turn: tasks on machines of the last ones held their room and never started.
+#[test]
+fn every_shard_of_the_roster_has_its_turn() {
+    use kiteyard::core::store::StateReply;
+    let mut c = Cluster::new(8.0);
+    c.leader.roster = Roster::new(1024);
+    let names: Vec<String> = (0..40).map(|i| format!("vm-{i:02}")).collect();
+    names.iter().for_each(|name| c.machine(name));
+    c.job(spec(0, Kind::Array, Priority::Normal, 80, 4.0));
+    c.pass();
+    // Work that comes to whatever is listed, faster than two shards a write can list it.
+    for number in 1..4 {
+        let (listings, _, _) = c.leader.roster_write(true, 16).expect("work to list");
+        let revision = 10 + number as u64;
+        let reply = StateReply::Committed { revision };
+        c.leader.roster_written(listings, &reply);
+        let job = c.job(spec(number, Kind::Array, Priority::Normal, 40, 8.0));
+        let machines = c.leader.machines.values();
+        let listed = machines.filter(|m| !m.unlisted()).map(|m| m.id.clone());
+        for (index, id) in listed.collect::<Vec<_>>().iter().enumerate() {
+            let task = TaskId {
+                job: job.clone(),
+                index: index as u32,
+            };
+            let attempt = c.leader.next_attempt();
+            c.leader.place(id, task, attempt, c.now);
+        }
+    }
+    let first = spec(0, Kind::Array, Priority::Normal, 80, 4.0).id;
+    let mut machines = c.leader.machines.values();
+    assert!(machines.all(|m| m.entry.jobs.contains(&first)));
+}
+
+/// More is let in only as fast as work starts: while the state service lists nothing,
+/// what waits for its listing does not grow, and all goes on once it answers.
+#[test]
+fn work_goes_in_only_as_fast_as_it_starts() {
+    use kiteyard::core::store::StateReply;
+    let mut c = Cluster::new(8.0);
+    let names: Vec<String> = (0..10).map(|i| format!("vm-{i:02}")).collect();
+    names.iter().for_each(|name| c.machine(name));
+    c.job(spec(0, Kind::Array, Priority::Normal, 8, 1.0));
+    c.pass();
+    assert_eq!(c.leader.holding().unlisted, 8);
+    c.now += Duration::from_secs(3);
+    names.iter().for_each(|name| {
+        c.report(name);
+    });
+    c.job(spec(1, Kind::Array, Priority::Normal, 8, 1.0));
+    c.pass();
+    assert_eq!(c.leader.holding().unlisted, 8, "no more is let in");
+    // A higher priority does not wait for what is below it.
+    c.job(spec(2, Kind::Service, Priority::High, 1, 1.0));
+    c.pass();
+    assert_eq!(c.leader.holding().unlisted, 9);
+    let (listings, _, _) = c.leader.roster_write(true, 16).expect("work to list");
+    c.leader
+        .roster_written(listings, &StateReply::Committed { revision: 20 });
+    names.iter().for_each(|name| {
+        c.report(name);
+    });
+    c.now += Duration::from_millis(100);
+    c.pass();
+    assert_eq!(c.leader.holding().unlisted, 8, "the rest follows");
+}
