Membership: who is heard over which way decides, blind leaders hand over, machines are called

Cause: at 1,344 machines a leader cut off from its workers took them for dead, returned 71 healthy machines with replicas, and kept its place; one that stood still was missed after just over half a worker's lease, 14 s; and a new leader knew nothing of a machine until its worker came by itself, up to 10 s later. Change: members/ judges silence by the gaps seen before (phi, from histograms), in time in which the process attended, and by who else is heard over the same way: a machine is given up only while most of its zone is heard, a zone that is heard no more gets no starts, and a leader that hears nobody and is answered by nobody hands over, or removes its key. A leader is missed once its workers have turned to other nodes. The leader tells where the workers are, and the next one calls those that may hold tasks.

--- a/src/core/commands.rs
+++ b/src/core/commands.rs
@@ -1,17 +1,27 @@
 //! What workers are told: with the answers to their reports, or straight away.
 
-use std::time::Duration;
+use std::{cmp::Reverse, collections::BTreeSet, time::Duration};
 
 use super::{
     job::Kind,
     leader::{Direct, Leader},
-    machine::{Command, DirectReply, MachineId, Phase, Standing, Stop, TaskPhase, Why},
+    machine::{
+        Command, DirectReply, MachineId, Phase, Standing, Stop, TaskPhase, Why, WorkerReport,
+    },
 };
+use tracing::debug;
+
+/// Machines that are called at a time after a take-over.
+const CALLED_MOST: usize = 128;
+/// Machines of one zone that are asked at a time whether they answer.
+const ASKED: usize = 4;
 
 impl Leader {
     /// Commands that need not wait for the next report. A worker that does not
     /// know this leader's token yet gets it at once, and its tasks become known.
     pub fn direct_commands(&mut self, now: Duration) -> Vec<Direct> {
+        let asked = self.asked(now);
+        let called = self.called(now);
         let due: Vec<MachineId> = self
             .machines
             .values()
@@ -20,22 +30,76 @@
             .filter(|m| {
                 let silence = now.saturating_sub(m.heard_at.unwrap_or_default());
                 let silent = m.heard_at.is_none() || silence > self.config.report * 2;
-                (!silent && (!m.fenced || m.urgent())) || self.doubtful(m, now)
+                (!silent && (!m.fenced || m.urgent()))
+                    || self.doubtful(m, now)
+                    || asked.contains(&m.id)
             })
             .map(|m| m.id.clone())
             .collect();
-        due.into_iter().filter_map(|id| self.direct(id)).collect()
+        let due = due.into_iter().chain(called);
+        due.filter_map(|id| self.direct(id)).collect()
+    }
+
+    /// Some machines of each zone that is heard no more, to learn whether they answer.
+    fn asked(&self, now: Duration) -> BTreeSet<MachineId> {
+        let mut asked = BTreeSet::new();
+        for zone in &self.ask {
+            let machines = self.machines.values().filter(|m| m.zone == *zone);
+            let known = machines.filter(|m| m.standing == Standing::Up && m.addr.is_some());
+            let under_way = known.clone().filter(|m| m.direct).count();
+            let idle = known.filter(|m| !m.direct && now >= m.direct_retry);
+            // Those heard last answer most likely.
+            let mut idle: Vec<_> = idle.map(|m| (Reverse(m.heard_at), &m.id)).collect();
+            idle.sort();
+            let more = ASKED.saturating_sub(under_way);
+            asked.extend(idle.into_iter().take(more).map(|(_, id)| id.clone()));
+        }
+        asked
+    }
+
+    /// After a take-over, machines that may hold tasks and have not reported yet: asked
+    /// where the former leader found them, they need not come by themselves first.
+    fn called(&self, now: Duration) -> Vec<MachineId> {
+        let unmet = self.machines.values().filter(|m| m.session == 0);
+        let unmet = unmet.filter(|m| m.unresolved && m.told.is_some());
+        let under_way = unmet.clone().filter(|m| m.direct).count();
+        let idle = unmet.filter(|m| !m.direct && now >= m.direct_retry);
+        let more = CALLED_MOST.saturating_sub(under_way);
+        idle.map(|m| m.id.clone()).take(more).collect()
+    }
+
+    /// A machine that was called has answered. It has seen this leader's token, so
+    /// nothing that a former one sent can begin there any more, and this is what it
+    /// holds. Its lease was kept alive by the former leader at the latest.
+    fn met(&mut self, id: &MachineId, report: &WorkerReport) {
+        let answered = self
+            .resolve_by
+            .saturating_sub(self.config.worker_lease_bound);
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
+        debug!(machine = %id, "called");
+        machine.addr = Some(report.addr);
+        machine.session = report.session;
+        machine.answered_at = Some(answered);
+        if machine.standing == Standing::Booting {
+            machine.standing = Standing::Up;
+        }
     }
 
     fn direct(&mut self, id: MachineId) -> Option<Direct> {
-        let addr = self.machines[&id].addr?;
+        let machine = &self.machines[&id];
+        let (addr, session) = match machine.addr {
+            Some(addr) => (addr, machine.session),
+            None => machine.told?,
+        };
         let commands = self.commands(&id, None);
         let machine = self.machines.get_mut(&id)?;
         machine.direct = true;
         Some(Direct {
             addr,
             token: machine.token,
-            session: machine.session,
+            session,
             machine: id,
             commands,
         })
@@ -46,6 +110,7 @@
             return;
         };
         machine.direct = false;
+        let unmet = machine.session == 0;
         let (executed, report) = match reply {
             DirectReply::Executed(report) => (true, report),
             DirectReply::Refused(report) => (false, report),
@@ -62,6 +127,17 @@
         if !executed {
             machine.direct_retry = now + self.config.report;
         }
+        if unmet {
+            // Another session, or another leader: where it is now is known at least.
+            machine.told = Some((report.addr, report.session));
+            if !executed || report.session != direct.session {
+                return;
+            }
+            self.met(&direct.machine, &report);
+        }
+        let Some(machine) = self.machines.get_mut(&direct.machine) else {
+            return;
+        };
         if machine.session != direct.session || report.session != machine.session {
             return;
         }
--- a/src/core/config.rs
+++ b/src/core/config.rs
@@ -93,7 +93,7 @@
             worker_lease_bound,
             leader_ttl,
             leader_term: leader_ttl.mul_f64(1.0 - 2.0 * DRIFT).saturating_sub(margin),
-            leader_silent: seconds(workers.lease_s * 0.55),
+            leader_silent: super::pulse::leader_silent(seconds(workers.lease_s)),
             renew_every: (leader_ttl / 8).min(Duration::from_millis(1500)),
             sync_every: seconds(PROOF_SHARE * nodes as f64 / params.state.rps),
             watch_every: seconds(WATCH_SHARE * nodes as f64 / params.state.rps),
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -103,6 +103,11 @@
             returned: BTreeMap::new(),
         }
     }
+
+    /// The machine is being returned.
+    pub(super) fn returns(&self, id: &MachineId) -> bool {
+        self.releasing.contains(id)
+    }
 }
 
 impl Leader {
@@ -120,12 +125,16 @@
         if now >= self.fleet.next_plan {
             self.fleet.next_plan = now + Duration::from_millis(500);
             self.value_images();
-            self.plan_returns(now);
-            self.plan_drain(now);
-            self.plan_rentals(now);
+            if !self.outlook.doubts {
+                self.plan_returns(now);
+                self.plan_drain(now);
+            }
+            // One that hears nobody can't tell what is needed.
+            if !self.outlook.doubts {
+                self.plan_rentals(now);
+            }
         }
-        let mut silent = self.plan_reclaims(now);
-        silent.retain(|id| !self.fleet.releasing.contains(id));
+        let silent = self.plan_reclaims(now);
         if !silent.is_empty() {
             self.fleet.releasing.extend(silent.iter().cloned());
             return Some(CloudRequest::Release { machines: silent });
@@ -531,7 +540,10 @@
             for zone in &t.zones {
                 for spot in [true, false] {
                     let kind = (t.name.clone(), zone.clone(), spot);
-                    if !spec.allows_place(zone, spot) || self.fleet.refused.contains_key(&kind) {
+                    if !spec.allows_place(zone, spot)
+                        || self.fleet.refused.contains_key(&kind)
+                        || !self.reaches(zone)
+                    {
                         continue;
                     }
                     let count = tasks.div_ceil(slots).min(RENT_MOST);
--- a/src/core/hints.rs
+++ b/src/core/hints.rs
@@ -1,12 +1,14 @@
 //! What the leader learned and the next one should not have to learn again: which
-//! images are in the machines' caches, and which jobs fail wherever they run.
+//! images are in the machines' caches, which jobs fail wherever they run, and where
+//! the workers are.
 //!
 //! The leader tells the other nodes, and they tell whoever leads next. It is taken
-//! as a hint: it decides between rooms and how often a job is tried, never whether
-//! a task may start.
+//! as a hint: it decides between rooms, how often a job is tried and whom to ask,
+//! never whether a task may start.
 
 use std::{
     collections::{BTreeMap, HashMap},
+    net::SocketAddr,
     sync::Arc,
     time::Duration,
 };
@@ -28,12 +30,15 @@
     machines: BTreeMap<MachineId, Vec<usize>>,
     #[serde(default)]
     faulty: Vec<JobId>,
+    /// Where the workers of machines are, and their session.
+    #[serde(default)]
+    workers: BTreeMap<MachineId, (SocketAddr, u64)>,
 }
 
 /// How often the leader tells them.
 const TELL_EVERY: Duration = Duration::from_secs(5);
 /// Machines, and jobs, that are told of.
-const TOLD_MOST: usize = 2000;
+const TOLD_MOST: usize = 8000;
 
 impl Hints {
     fn of(leader: &Leader) -> Self {
@@ -42,6 +47,9 @@
             faulty: faulty.map(|(id, _)| id.clone()).take(TOLD_MOST).collect(),
             ..Self::default()
         };
+        let up = leader.machines.values().filter(|m| m.fenced);
+        let workers = up.filter_map(|m| Some((m.id.clone(), (m.addr?, m.session))));
+        hints.workers = workers.take(TOLD_MOST).collect();
         let mut numbers: HashMap<Arc<str>, usize> = HashMap::new();
         let machines = leader.machines.values().filter(|m| !m.images.is_empty());
         for machine in machines.take(TOLD_MOST) {
@@ -57,11 +65,20 @@
         hints
     }
 
-    /// What was told of one machine, given away.
-    fn take(&mut self, machine: &MachineId) -> Vec<Arc<str>> {
-        let numbers = self.machines.remove(machine).unwrap_or_default();
+    /// What was told of one machine, given away to it.
+    fn give(&mut self, machine: &mut Machine) {
+        let numbers = self.machines.remove(&machine.id).unwrap_or_default();
         let images = numbers.into_iter().filter_map(|n| self.images.get(n));
-        images.cloned().collect()
+        for image in images {
+            machine.images.entry(image.clone()).or_default();
+        }
+        if let Some(worker) = self.workers.remove(&machine.id) {
+            machine.told = Some(worker);
+        }
+    }
+
+    fn is_empty(&self) -> bool {
+        self.machines.is_empty() && self.faulty.is_empty() && self.workers.is_empty()
     }
 }
 
@@ -95,7 +112,7 @@
     pub(super) fn pass_hints_on(&mut self) {
         if let Some((record, _)) = &self.mirror.leader
             && record.node != self.config.node
-            && !(self.hints.machines.is_empty() && self.hints.faulty.is_empty())
+            && !self.hints.is_empty()
         {
             self.out.push(Output::Peer {
                 to: record.node.clone(),
@@ -115,17 +132,13 @@
             }
         }
         for machine in self.machines.values_mut() {
-            for image in hints.take(&machine.id) {
-                machine.images.entry(image).or_default();
-            }
+            hints.give(machine);
         }
         self.told = hints;
     }
 
     /// A machine that is new to this leader.
     pub(super) fn recall_one(&mut self, machine: &mut Machine) {
-        for image in self.told.take(&machine.id) {
-            machine.images.entry(image).or_default();
-        }
+        self.told.give(machine);
     }
 }
--- a/src/core/lead.rs
+++ b/src/core/lead.rs
@@ -15,7 +15,8 @@
     mirror::LeaderRecord,
     roster::ShardRecord,
     store::{
-        LEADER, LIVE, PROGRESS, ROSTER, SETTLED, StateReply, StateRequest, put, put_leased, when,
+        LEADER, LIVE, PROGRESS, ROSTER, SETTLED, StateReply, StateRequest, delete, put, put_leased,
+        when,
     },
 };
 
@@ -48,9 +49,20 @@
     settled_at: Duration,
     /// A claim that resigned for this node.
     resigned: Option<u64>,
+    /// A claim that was given away to whoever comes first: its key is still to go,
+    /// since when, and whether that was asked for.
+    vacating: Option<Vacating>,
     taking: Option<TakeOver>,
 }
 
+#[derive(Debug)]
+struct Vacating {
+    claim: u64,
+    since: Duration,
+    asking: bool,
+    retry: Duration,
+}
+
 #[derive(Debug)]
 struct Seen {
     version: u64,
@@ -142,7 +154,9 @@
             self.settle();
             return;
         }
-        if self.lead.claiming || now < self.lead.retry {
+        self.pump_vacating();
+        let patience = self.config.leader_ttl;
+        if self.lead.claiming || now < self.lead.retry || !self.members.may_lead(now, patience) {
             return;
         }
         let Some(former) = self.former() else { return };
@@ -327,6 +341,8 @@
                 };
                 self.lead.asked = true;
                 self.lead.taking = Some(TakeOver::default());
+                self.lead.vacating = None;
+                self.members.leads_now(now);
             }
             StateReply::LeaseGone => {
                 self.lead.lease = None;
@@ -407,6 +423,61 @@
         self.lead.settled_at = self.now() + BACK_OFF;
     }
 
+    /// Removes the key of a claim that this node has given up, after it stopped acting:
+    /// the next leader need not wait for the end of the lease then. If it can't be
+    /// removed, the lease, which is not renewed any more, ends by itself.
+    pub(super) fn vacate(&mut self, claim: u64, wait: Duration) {
+        self.lead.lease = None;
+        self.lead.lease_until = Duration::ZERO;
+        self.lead.valid_until = Duration::ZERO;
+        self.lead.vacating = Some(Vacating {
+            claim,
+            since: self.now(),
+            asking: false,
+            retry: self.now() + wait,
+        });
+        self.pump_vacating();
+    }
+
+    fn pump_vacating(&mut self) {
+        let now = self.now();
+        let ttl = self.config.leader_ttl;
+        let over = |v: &mut Vacating| now > v.since + ttl;
+        if self.lead.vacating.take_if(over).is_some() {
+            return;
+        }
+        let Some(vacating) = &mut self.lead.vacating else {
+            return;
+        };
+        if vacating.asking || now < vacating.retry {
+            return;
+        }
+        vacating.asking = true;
+        let claim = vacating.claim;
+        self.call(
+            Purpose::Vacate { claim },
+            StateRequest::Txn {
+                conditions: vec![when(LEADER, claim)],
+                changes: vec![delete(LEADER)],
+            },
+        );
+    }
+
+    pub(super) fn vacated(&mut self, claim: u64, reply: &StateReply) {
+        let retry = self.now() + BACK_OFF;
+        match reply {
+            StateReply::Committed { .. } | StateReply::Conflict => {
+                self.lead.vacating.take_if(|v| v.claim == claim);
+            }
+            _ => {
+                if let Some(vacating) = &mut self.lead.vacating {
+                    vacating.asking = false;
+                    vacating.retry = retry;
+                }
+            }
+        }
+    }
+
     fn pump_take_over(&mut self) {
         let now = self.now();
         let (Some(taking), Some(claim)) = (&mut self.lead.taking, self.lead.claim) else {
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -18,6 +18,7 @@
         Command, Machine, MachineId, MachineType, Phase, Placement, Standing, Stop, TaskPhase, Why,
         WorkerReport,
     },
+    members::sight::Outlook,
     mirror::LiveJob,
     queue::Queue,
     roster::{Roster, ShardRecord},
@@ -144,6 +145,11 @@
     /// How far run times of a class are from their estimates, as a logarithm.
     pub seen: HashMap<Arc<str>, f64>,
     pub roster: Roster,
+    /// What the silence of machines means, and the zones where somebody is to be asked.
+    pub outlook: Outlook,
+    pub(super) ask: BTreeSet<Arc<str>>,
+    /// Machines that were returned, for the node to forget.
+    pub(super) parted: Vec<MachineId>,
     /// How fast tasks start.
     pub flow: Flow,
     /// What is let in no more, see `held_up`.
@@ -216,6 +222,9 @@
             wall_ms: 0,
             seen: HashMap::new(),
             roster: Roster::new(config.value_most),
+            outlook: Outlook::default(),
+            ask: BTreeSet::new(),
+            parted: Vec::new(),
             flow: Flow::new(config.report),
             shut: None,
             told: Hints::default(),
@@ -325,6 +334,7 @@
     pub fn machine_gone(&mut self, id: &MachineId, now: Duration) {
         self.session_over(id, now);
         if let Some(machine) = self.machines.remove(id) {
+            self.parted.push(id.clone());
             self.roster.gone(&machine);
         }
     }
--- a/src/core/machine.rs
+++ b/src/core/machine.rs
@@ -209,6 +209,8 @@
     pub spot: bool,
     pub size: Resources,
     pub addr: Option<SocketAddr>,
+    /// Where its worker was, and in which session, by what the former leader told.
+    pub told: Option<(SocketAddr, u64)>,
     pub standing: Standing,
     pub session: u64,
     /// The newest report in this session, and the newest message of any kind.
@@ -264,6 +266,7 @@
             spot,
             size,
             addr: None,
+            told: None,
             standing: Standing::Booting,
             session: 0,
             report_seq: 0,
--- /dev/null
+++ b/src/core/members/accrual.rs
@@ -0,0 +1,123 @@
+//! How unlikely a silence is, by what was seen of the gaps before it.
+//!
+//! Times between two signs of life come from the settings, the network and the load,
+//! and differ by a factor of ten between deployments. So nothing is fixed here: the
+//! gaps themselves are counted, and a silence is told as `phi`, the negative decimal
+//! logarithm of the chance that it is one more such gap.
+
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+
+/// Gaps are counted in steps of 0.1 ms, up to ten minutes.
+const STEP: Duration = Duration::from_micros(100);
+const GAP_MOST: u64 = 6_000_000;
+/// Gaps after which the older half is forgotten, and those that are needed to judge.
+const KEEP: u64 = 2048;
+const LEAST: u64 = 8;
+/// A deviation is taken to be at least this share of the mean: few gaps, all alike,
+/// say little of the next.
+const DEVIATION_LEAST: f64 = 0.25;
+
+/// What makes the signs of life.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Source {
+    /// One that sends at regular times.
+    One,
+    /// Many, independent of one another: gaps are as in a Poisson process.
+    Many,
+}
+
+#[derive(Debug)]
+pub struct Accrual {
+    source: Source,
+    newer: Histogram<u32>,
+    older: Histogram<u32>,
+    last: Option<Duration>,
+}
+
+fn histogram() -> Histogram<u32> {
+    let mut counts = Histogram::new_with_bounds(1, GAP_MOST, 2).expect("bounds that are in order");
+    counts.auto(false);
+    counts
+}
+
+impl Accrual {
+    pub fn new(source: Source) -> Self {
+        Self {
+            source,
+            newer: histogram(),
+            older: histogram(),
+            last: None,
+        }
+    }
+
+    pub fn heard(&mut self, now: Duration) {
+        if let Some(last) = self.last {
+            let gap = now.saturating_sub(last);
+            let steps = (gap.as_nanos() / STEP.as_nanos()) as u64;
+            self.newer.saturating_record(steps.max(1));
+            if self.newer.len() >= KEEP / 2 {
+                std::mem::swap(&mut self.newer, &mut self.older);
+                self.newer.reset();
+            }
+        }
+        self.last = Some(now);
+    }
+
+    /// A silence that ended by itself was none of the usual gaps.
+    pub fn skip(&mut self, now: Duration) {
+        self.last = self.last.map(|_| now);
+    }
+
+    pub fn last(&self) -> Option<Duration> {
+        self.last
+    }
+
+    pub fn silence(&self, now: Duration) -> Option<Duration> {
+        self.last.map(|last| now.saturating_sub(last))
+    }
+
+    /// Zero as long as too little is known.
+    pub fn phi(&self, now: Duration) -> f64 {
+        let (Some(silence), count) = (self.silence(now), self.newer.len() + self.older.len())
+        else {
+            return 0.0;
+        };
+        if count < LEAST {
+            return 0.0;
+        }
+        let silence = silence.as_secs_f64() / STEP.as_secs_f64();
+        let of = |f: fn(&Histogram<u32>) -> f64| {
+            let part = |h: &Histogram<u32>| match h.len() {
+                0 => 0.0,
+                len => f(h) * len as f64,
+            };
+            (part(&self.newer) + part(&self.older)) / count as f64
+        };
+        let mean = of(Histogram::mean).max(1.0);
+        match self.source {
+            // What is longer than nearly every gap counts from there on.
+            Source::Many => {
+                let long = |h: &Histogram<u32>| h.value_at_quantile(0.999) as f64;
+                let usual = long(&self.newer).max(long(&self.older));
+                (silence - usual).max(0.0) / mean * std::f64::consts::LOG10_E
+            }
+            Source::One => {
+                let deviation = of(Histogram::stdev).max(mean * DEVIATION_LEAST);
+                tail(silence - mean, deviation)
+            }
+        }
+    }
+}
+
+/// The negative logarithm of a normal distribution's tail beyond `over`, by the
+/// logistic curve that is close to it.
+fn tail(over: f64, deviation: f64) -> f64 {
+    let y = over / deviation;
+    let e = (-y * (1.5976 + 0.070566 * y * y)).exp();
+    match over > 0.0 {
+        true => -(e / (1.0 + e)).max(f64::MIN_POSITIVE).log10(),
+        false => -(1.0 - 1.0 / (1.0 + e)).log10(),
+    }
+}
--- /dev/null
+++ b/src/core/members/nodes.rs
@@ -0,0 +1,201 @@
+//! What nodes tell one another, and when a leader is missed.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+
+use super::accrual::{Accrual, Source};
+use crate::core::machine::MachineId;
+
+/// What a node tells every other one, again and again.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Pulse {
+    /// The claim of the leader it knows; 0: none.
+    pub claim: u64,
+    /// How long ago it heard from that leader.
+    pub heard: Duration,
+    /// How long ago the state service answered it.
+    pub state: Duration,
+    /// Machines by zone that reported to it lately.
+    #[serde(default)]
+    pub hears: BTreeMap<Arc<str>, u32>,
+}
+
+impl Pulse {
+    pub fn machines(&self) -> u32 {
+        self.hears.values().sum()
+    }
+}
+
+#[derive(Debug)]
+struct Other {
+    at: Duration,
+    pulse: Pulse,
+}
+
+#[derive(Debug)]
+pub struct Nodes {
+    others: BTreeMap<String, Other>,
+    /// The leader's claim, and when it was heard of last.
+    leader: (u64, Duration),
+    /// The gaps between its pulses.
+    gaps: Accrual,
+    /// Machines that it heard, as it told last.
+    leader_hears: u32,
+    /// When the state service answered last, and since when without a failure.
+    state: Duration,
+    served_since: Option<Duration>,
+    /// Workers that know the leader's token and came here instead, and when.
+    stranded: HashMap<MachineId, Duration>,
+    /// A worker's lease: what was stranded before that is of no more interest.
+    keep: Duration,
+}
+
+pub const EVERY: Duration = Duration::from_millis(700);
+/// What another node told stands for so long.
+const FRESH: Duration = Duration::from_millis(2200);
+/// A leader of which two pulses were missed is not heard, as long as too few of its
+/// pulses are known to say more, and whatever they are after half as long again.
+const MISSED: Duration = Duration::from_millis(1700);
+const PHI: f64 = 8.0;
+/// A node that was answered within this time reaches the state service.
+pub const REACHES: Duration = Duration::from_millis(1600);
+/// One that was not answered for so long is refused.
+pub const REFUSED: Duration = Duration::from_millis(2500);
+/// After an outage of the state service, the leader is given this time to go on.
+const SERVED: Duration = Duration::from_millis(1500);
+/// A leader is missed by its workers when one in so many of those that it heard came
+/// to another node; one always does where they are few.
+const STRANDED_ONE_IN: u32 = 10;
+
+impl Nodes {
+    pub fn new(keep: Duration) -> Self {
+        Self {
+            others: BTreeMap::new(),
+            leader: (0, Duration::ZERO),
+            gaps: Accrual::new(Source::One),
+            leader_hears: 0,
+            state: Duration::ZERO,
+            served_since: None,
+            stranded: HashMap::new(),
+            keep,
+        }
+    }
+
+    /// What an answer tells of whether the state service serves this node.
+    pub fn state_answered(&mut self, now: Duration, served: bool) {
+        if served {
+            self.state = now;
+            self.served_since.get_or_insert(now);
+        } else {
+            self.served_since = None;
+        }
+    }
+
+    pub fn state_silence(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.state)
+    }
+
+    /// The state service answers this node, and has done so for a while.
+    pub fn served(&self, now: Duration) -> bool {
+        let settled = self.served_since.is_some_and(|at| now > at + SERVED);
+        settled && self.state_silence(now) <= REACHES
+    }
+
+    /// The leader by the stored key, which may be this node itself.
+    pub fn leader_is(&mut self, claim: u64, own: bool, now: Duration) {
+        if self.leader.0 != claim {
+            // A new leader is given the time to be heard.
+            self.leader = (claim, now);
+            self.gaps = Accrual::new(Source::One);
+            self.leader_hears = 0;
+            self.stranded.clear();
+        }
+        if own {
+            self.leader = (claim, now);
+        }
+    }
+
+    pub fn leader_silence(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.leader.1)
+    }
+
+    pub fn pulse(&mut self, from: String, pulse: Pulse, leads: bool, now: Duration) {
+        if leads {
+            self.leader = (pulse.claim, now);
+            self.gaps.heard(now);
+            self.leader_hears = pulse.machines();
+        }
+        self.others.insert(from, Other { at: now, pulse });
+    }
+
+    /// The leader was heard here lately, or is too new to be missed.
+    pub fn hears_leader(&self, now: Duration) -> bool {
+        let silence = self.leader_silence(now);
+        silence < MISSED || (silence < MISSED * 3 / 2 && self.gaps.phi(now) < PHI)
+    }
+
+    fn fresh(&self, now: Duration) -> impl Iterator<Item = (&String, &Pulse)> {
+        let fresh = move |other: &&Other| now < other.at + FRESH;
+        let others = self.others.iter();
+        others
+            .filter(move |(_, other)| fresh(other))
+            .map(|(node, other)| (node, &other.pulse))
+    }
+
+    /// Another node that hears the leader, when this one does not.
+    pub fn hearer(&self, leader: &str, claim: u64, now: Duration) -> Option<String> {
+        let heard = self.others.iter().find(|(node, other)| {
+            *node != leader
+                && other.pulse.claim == claim
+                && now < other.at + MISSED - other.pulse.heard.min(MISSED)
+        });
+        heard.map(|(node, _)| node.clone())
+    }
+
+    /// Another node that is heard and is not the leader.
+    pub fn alive_beside(&self, leader: Option<&str>, now: Duration) -> Option<String> {
+        let mut alive = self.fresh(now).filter(|(node, _)| Some(&***node) != leader);
+        alive.next().map(|(node, _)| node.clone())
+    }
+
+    /// Some other node that is heard is served by the state service.
+    pub fn other_served(&self, now: Duration) -> bool {
+        self.fresh(now).any(|(_, pulse)| pulse.state < REACHES)
+    }
+
+    /// The served node that hears most machines, and how many.
+    pub fn best(&self, now: Duration) -> Option<(String, u32)> {
+        let served = self.fresh(now).filter(|(_, pulse)| pulse.state < REACHES);
+        served
+            .map(|(node, pulse)| (pulse.machines(), node))
+            .max()
+            .map(|(machines, node)| (node.clone(), machines))
+    }
+
+    /// A worker that knows the leader's token came here instead.
+    pub fn strands(&mut self, machine: &MachineId, now: Duration) {
+        if self.stranded.len() >= 64 {
+            let keep = self.keep;
+            self.stranded.retain(|_, at| now < *at + keep);
+        }
+        self.stranded.insert(machine.clone(), now);
+    }
+
+    /// No node hears the leader any more, and its workers leave it.
+    pub fn leader_missed(&self, claim: u64, silent: Duration, now: Duration) -> bool {
+        let unheard = self.leader.0 == claim && self.leader_silence(now) > silent;
+        if !unheard {
+            return false;
+        }
+        // One that another node hears is reached by its relays.
+        let heard = |p: &Pulse| p.claim == claim && p.heard < silent;
+        let stranded = self.stranded.values().filter(|at| now < **at + silent);
+        let enough = (self.leader_hears / STRANDED_ONE_IN).max(1) as usize;
+        stranded.count() >= enough && !self.fresh(now).any(|(_, pulse)| heard(pulse))
+    }
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -14,6 +14,7 @@
 pub mod lead;
 pub mod leader;
 pub mod machine;
+pub mod members;
 pub mod mirror;
 pub mod order;
 pub mod pulse;
@@ -40,6 +41,7 @@
 use lead::Lead;
 use leader::{Direct, Leader};
 use machine::{Command, DirectReply, WorkerReport};
+use members::{Members, sight::Way};
 use mirror::{Mirror, Noticed};
 use relay::{PeerMessage, Relays};
 use store::{LIVE, StateReply, StateRequest};
@@ -205,6 +207,9 @@
     },
     Probe,
     Settle,
+    Vacate {
+        claim: u64,
+    },
     Accept {
         request: RequestId,
         spec: Arc<JobSpec>,
@@ -258,6 +263,7 @@
     saves: saves::Saves,
     relays: Relays,
     pulses: pulse::Pulses,
+    members: Members,
     /// What the leader told for the next one.
     hints: hints::Hints,
     next_hints: Duration,
@@ -270,6 +276,7 @@
             saves: saves::Saves::new(&config),
             relays: Relays::default(),
             pulses: pulse::Pulses::default(),
+            members: Members::new(config.report, config.worker_lease_bound),
             config,
             clock: Clock {
                 now: Duration::ZERO,
@@ -306,7 +313,10 @@
                 let ready = self.mirror.loaded && self.mirror.types.is_some() && !self.left_alone();
                 self.answer(request, Answer::Ready(ready));
             }
-            Input::Report { request, report } => self.report(request, report),
+            Input::Report { request, report } => {
+                self.machine_heard(&report.machine, &report.zone, Way::Report);
+                self.report(request, report);
+            }
             Input::State { call, reply } => {
                 if let Some(purpose) = self.calls.remove(&call) {
                     self.state_reply(purpose, reply);
@@ -318,11 +328,8 @@
                 }
             }
             Input::Direct { call, reply } => {
-                if let Some(Purpose::Direct(direct)) = self.calls.remove(&call)
-                    && let Some(leader) = &mut self.leader
-                    && direct.token >> 16 == leader.claim
-                {
-                    leader.direct_reply(&direct, reply, clock.now);
+                if let Some(Purpose::Direct(direct)) = self.calls.remove(&call) {
+                    self.direct_reply(&direct, reply);
                 }
             }
             Input::Peer { from, message } => self.peer_message(from, message),
@@ -398,6 +405,10 @@
             return;
         }
         leader.next_round = now + ROUND + ROUND_PER_MACHINE * leader.machines.len() as u32;
+        self.pump_outlook();
+        let Some(leader) = &mut self.leader else {
+            return;
+        };
         leader.proven = proven;
         leader.tick(now);
         let wants_proof = leader.wants_proof(now);
@@ -449,6 +460,21 @@
         }
     }
 
+    fn direct_reply(&mut self, direct: &Direct, reply: DirectReply) {
+        let now = self.now();
+        match &reply {
+            DirectReply::Executed(report) | DirectReply::Refused(report) => {
+                self.machine_heard(&report.machine, &report.zone, Way::Answer);
+            }
+            DirectReply::Unclear => self.members.sight.unanswered(&direct.machine),
+        }
+        if let Some(leader) = &mut self.leader
+            && direct.token >> 16 == leader.claim
+        {
+            leader.direct_reply(direct, reply, now);
+        }
+    }
+
     /// Machine types are stored, so that a restart in a cloud outage can judge jobs.
     fn pump_types(&mut self) {
         let now = self.now();
@@ -522,6 +548,7 @@
             } => self.claimed(lease, sent, former, reply),
             Purpose::Probe => self.probed(),
             Purpose::Settle => self.settled(),
+            Purpose::Vacate { claim } => self.vacated(claim, &reply),
             Purpose::Accept {
                 request,
                 spec,
--- a/src/core/relay.rs
+++ b/src/core/relay.rs
@@ -13,7 +13,7 @@
     hints::Hints,
     job::JobId,
     machine::{MachineId, WorkerReport},
-    pulse::Pulse,
+    members::{nodes::Pulse, sight::Way},
 };
 
 /// One line between two nodes.
@@ -111,7 +111,7 @@
             .is_some_and(|at| now < *at + self.config.worker_lease_bound);
         let knows = report.token >> 16 == claim;
         if knows {
-            self.worker_stranded();
+            self.members.nodes.strands(&report.machine, now);
         }
         let lost_way = knows || sent_before;
         if lost_way && !self.hears_leader() {
@@ -190,6 +190,7 @@
     pub(super) fn peer_message(&mut self, from: String, message: PeerMessage) {
         match message {
             PeerMessage::Report { relay, report } => {
+                self.machine_heard(&report.machine, &report.zone, Way::Relay);
                 let answer = self.lead_report(&report);
                 self.out.push(Output::Peer {
                     to: from,
--- a/src/core/sched.rs
+++ b/src/core/sched.rs
@@ -142,11 +142,17 @@
         machine.standing == Standing::Up
             && machine.fenced
             && machine.notice_at.is_none()
+            && self.reaches(&machine.zone)
             && machine
                 .heard_at
                 .is_some_and(|at| now < at + self.config.report * 2 + Duration::from_millis(700))
     }
 
+    /// Nothing is started that can't be delivered, and nobody stopped for it.
+    pub(super) fn reaches(&self, zone: &str) -> bool {
+        !self.outlook.doubts && !self.outlook.apart.contains(zone)
+    }
+
     /// Places what fits, makes room for what does not, and parks the rest.
     pub fn pass(&mut self, now: Duration) {
         self.queue.dirty = false;
--- a/src/core/silent.rs
+++ b/src/core/silent.rs
@@ -3,10 +3,10 @@
 //!
 //! A machine that hangs takes its replicas with it, and they may start elsewhere
 //! only when its lease is over or it is gone. Once the cloud has confirmed its
-//! return it is gone. A machine that is only cut off goes on working, though, and
-//! then many fall silent at once: only a few at a time are given up like this.
+//! return it is gone. A machine that is only cut off goes on working, though: it is
+//! given up only while most of its zone is heard, so that its silence is its own.
 
-use std::{collections::HashMap, time::Duration};
+use std::{cmp::Reverse, time::Duration};
 
 use tracing::info;
 
@@ -16,18 +16,17 @@
     machine::{Machine, MachineId, Standing},
 };
 
-/// Of all machines, and of those of one zone, at most one in so many is given up;
-/// one always may be.
-const ONE_IN: usize = 10;
-const ONE_IN_ZONE: usize = 4;
+/// Machines that one request returns at most.
+const RETURNED_MOST: usize = 100;
 
 impl Machine {
-    /// Something runs here that has to run all the time.
-    fn serves(&self) -> bool {
-        self.tasks.values().any(|p| {
+    /// How many tasks run here that have to run all the time.
+    fn serves(&self) -> usize {
+        let endless = self.tasks.values().filter(|p| {
             let endless = p.spec.as_ref().is_some_and(|s| s.kind != Kind::Array);
             endless && !p.foreign && !p.exited() && !p.stopping()
-        })
+        });
+        endless.count()
     }
 
     fn unheard(&self, time: Duration, now: Duration) -> bool {
@@ -40,44 +39,31 @@
 impl Leader {
     /// The machine missed a report: it is asked whether it still answers.
     pub(super) fn doubtful(&self, machine: &Machine, now: Duration) -> bool {
-        machine.unheard(self.config.report * 3 / 2, now) && !machine.mute && machine.serves()
+        machine.unheard(self.config.report * 3 / 2, now) && !machine.mute && machine.serves() > 0
     }
 
-    /// Machines to be returned, as a proof that nothing runs there any more.
+    /// Machines to be returned, as a proof that nothing runs there any more: those
+    /// with the most replicas first.
     pub(super) fn plan_reclaims(&mut self, now: Duration) -> Vec<MachineId> {
         // One that does not know that it still leads may be the one cut off.
-        if now > self.proven + self.config.renew_every * 2 {
-            return Vec::new();
-        }
-        let (mut up, mut silent) = (0, 0);
-        let mut zones: HashMap<&str, (usize, usize)> = HashMap::new();
-        for machine in self.machines.values() {
-            if machine.standing != Standing::Up {
-                continue;
-            }
-            let quiet = machine.unheard(self.config.report * 2, now);
-            let zone = zones.entry(&machine.zone).or_default();
-            *zone = (zone.0 + 1, zone.1 + usize::from(quiet));
-            up += 1;
-            silent += usize::from(quiet);
-        }
-        if silent > (up / ONE_IN).max(1) {
+        if now > self.proven + self.config.renew_every * 2 || self.outlook.doubts {
             return Vec::new();
         }
         let silence = (self.config.report * 2).max(self.config.worker_lease_bound / 3);
-        let go: Vec<MachineId> = self
+        let mut go: Vec<(Reverse<usize>, MachineId)> = self
             .machines
             .values()
-            .filter(|m| m.unheard(silence, now) && m.mute && m.serves())
-            .filter(|m| {
-                let (up, silent) = zones[&*m.zone];
-                silent <= (up / ONE_IN_ZONE).max(1)
-            })
-            .map(|m| m.id.clone())
+            .filter(|m| m.unheard(silence, now) && m.mute)
+            .filter(|m| self.outlook.clear.contains(&m.zone))
+            .map(|m| (Reverse(m.serves()), m.id.clone()))
+            .filter(|(serves, _)| serves.0 > 0)
+            .filter(|(_, id)| !self.fleet.returns(id))
             .collect();
-        for machine in &go {
+        go.sort();
+        go.truncate(RETURNED_MOST);
+        for (_, machine) in &go {
             info!(%machine, "silent with replicas: returned to prove it empty");
         }
-        go
+        go.into_iter().map(|(_, id)| id).collect()
     }
 }
