Workers called under a new token are sent to the leader first, not relayed for good

Change: knowing the token proves a lost way only once all workers had the time to turn to the leader, or while nobody hears it; a follower counts only such workers.

--- a/src/core/members/nodes.rs
+++ b/src/core/members/nodes.rs
@@ -42,6 +42,8 @@
     others: BTreeMap<String, Other>,
     /// The leader's claim, and when it was heard of last.
     leader: (u64, Duration),
+    /// Since when it is known to lead.
+    leader_since: Duration,
     /// The gaps between its pulses.
     gaps: Accrual,
     /// Machines that it heard, as it told last.
@@ -77,6 +79,7 @@
         Self {
             others: BTreeMap::new(),
             leader: (0, Duration::ZERO),
+            leader_since: Duration::ZERO,
             gaps: Accrual::new(Source::One),
             leader_hears: 0,
             state: Duration::ZERO,
@@ -111,6 +114,7 @@
         if self.leader.0 != claim {
             // A new leader is given the time to be heard.
             self.leader = (claim, now);
+            self.leader_since = now;
             self.gaps = Accrual::new(Source::One);
             self.leader_hears = 0;
             self.stranded.clear();
@@ -120,6 +124,11 @@
         }
     }
 
+    /// Since when this claim is known, if it is the one that stands.
+    pub fn leader_since(&self, claim: u64) -> Option<Duration> {
+        (self.leader.0 == claim).then_some(self.leader_since)
+    }
+
     pub fn leader_silence(&self, now: Duration) -> Duration {
         now.saturating_sub(self.leader.1)
     }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -313,10 +313,7 @@
                 let ready = self.mirror.loaded && self.mirror.types.is_some() && !self.left_alone();
                 self.answer(request, Answer::Ready(ready));
             }
-            Input::Report { request, report } => {
-                self.machine_heard(&report.machine, &report.zone, Way::Report);
-                self.report(request, report);
-            }
+            Input::Report { request, report } => self.report(request, report),
             Input::State { call, reply } => {
                 if let Some(purpose) = self.calls.remove(&call) {
                     self.state_reply(purpose, reply);
--- a/src/core/pulse.rs
+++ b/src/core/pulse.rs
@@ -34,6 +34,12 @@
 const WORKER_ANSWER: Duration = Duration::from_secs(4);
 const WORKER_RETRY: Duration = Duration::from_secs(1);
 
+/// After a change of the leader, workers that reported to another node have turned to
+/// the new one within this time.
+fn turning(report: Duration) -> Duration {
+    report * 5 / 4 + WORKER_ANSWER + WORKER_RETRY
+}
+
 /// By then a node that was handed the leadership has claimed it.
 const HANDED_OVER: Duration = Duration::from_millis(600);
 
@@ -61,6 +67,12 @@
         nodes.state_silence(now) > REFUSED && nodes.other_served(now)
     }
 
+    /// The claim has stood long enough for the workers to have turned to the leader.
+    pub(super) fn turned(&self, claim: u64) -> bool {
+        let since = self.members.nodes.leader_since(claim);
+        since.is_some_and(|at| self.now() > at + turning(self.config.report))
+    }
+
     pub(super) fn hears_leader(&self) -> bool {
         self.members.nodes.hears_leader(self.now())
     }
@@ -184,9 +196,8 @@
         }
         let best = self.members.nodes.best(now);
         let hears: u32 = self.members.sight.hears().values().sum();
-        // Workers that were sent here need a while to come.
-        let settled = self.config.report * 5 / 4 + WORKER_ANSWER + WORKER_RETRY;
-        let better = self.members.led_for(now) > settled
+        let settled = self.members.led_for(now) > turning(self.config.report);
+        let better = settled
             && best
                 .as_ref()
                 .is_some_and(|(_, machines)| *machines >= 3 && *machines > 2 * hears);
--- a/src/core/relay.rs
+++ b/src/core/relay.rs
@@ -92,28 +92,33 @@
 impl Node {
     pub(super) fn report(&mut self, request: RequestId, report: WorkerReport) {
         if self.leads() {
+            self.machine_heard(&report.machine, &report.zone, Way::Report);
             let answer = self.lead_report(&report);
             self.answer(request, answer.unwrap_or(Answer::Redirect(None)));
             return;
         }
         let Some((node, claim)) = self.other_leader() else {
+            self.machine_heard(&report.machine, &report.zone, Way::Report);
             self.hold(request, report);
             return;
         };
         let now = self.now();
         // A worker that knows the leader's token and still comes here has lost
         // its way to the leader, as has one that comes back soon after it was
-        // sent there: its report is relayed, so that its lease goes on.
+        // sent there: its report is relayed, so that its lease goes on. A new
+        // leader calls workers wherever they are, though: until all have turned
+        // to it, one may know its token and not where it is.
         let sent_before = self
             .relays
             .redirected
             .get(&report.machine)
             .is_some_and(|at| now < *at + self.config.worker_lease_bound);
         let knows = report.token >> 16 == claim;
-        if knows {
+        let lost_way = sent_before || (knows && (self.turned(claim) || !self.hears_leader()));
+        if lost_way {
             self.members.nodes.strands(&report.machine, now);
+            self.machine_heard(&report.machine, &report.zone, Way::Report);
         }
-        let lost_way = knows || sent_before;
         if lost_way && !self.hears_leader() {
             self.hold(request, report);
             return;
