Relayed workers are sent to the leader again now and then

Cause: a relayed worker stays with the node that answers it. Change: after two leases of relaying a worker is sent to the leader once more.

--- a/src/core/relay.rs
+++ b/src/core/relay.rs
@@ -68,8 +68,8 @@
     held: Vec<Held>,
     /// Tasks that the held reports list.
     held_tasks: usize,
-    /// Workers that were sent to the leader, and when.
-    redirected: HashMap<MachineId, Duration>,
+    /// Workers that were sent to the leader or came from it, and when.
+    tried: HashMap<MachineId, Duration>,
     digest: HashMap<JobId, (u32, u32)>,
     next_digest: Duration,
 }
@@ -103,18 +103,7 @@
             return;
         };
         let now = self.now();
-        // A worker that knows the leader's token and still comes here has lost
-        // its way to the leader, as has one that comes back soon after it was
-        // sent there: its report is relayed, so that its lease goes on. A new
-        // leader calls workers wherever they are, though: until all have turned
-        // to it, one may know its token and not where it is.
-        let sent_before = self
-            .relays
-            .redirected
-            .get(&report.machine)
-            .is_some_and(|at| now < *at + self.config.worker_lease_bound);
-        let knows = report.token >> 16 == claim;
-        let lost_way = sent_before || (knows && (self.turned(claim) || !self.hears_leader()));
+        let lost_way = self.lost_way(&report, claim);
         if lost_way {
             self.members.nodes.strands(&report.machine, now);
             self.machine_heard(&report.machine, &report.zone, Way::Report);
@@ -124,7 +113,7 @@
             return;
         }
         if !lost_way || self.relays.waiting.len() >= RELAYS_MOST {
-            self.relays.redirected.insert(report.machine.clone(), now);
+            self.relays.tried.insert(report.machine.clone(), now);
             self.answer(request, Answer::Redirect(Some(node)));
             return;
         }
@@ -140,6 +129,31 @@
         });
     }
 
+    /// Whether a worker that came here can't reach the leader, so that its report is
+    /// relayed and its lease goes on.
+    ///
+    /// One that knows the leader's token and still comes here has lost its way to it,
+    /// as has one that comes back soon after it was sent there. A new leader calls
+    /// workers wherever they are, though: until all have turned to it, one may know its
+    /// token and not where it is. A relayed worker stays where it is answered, so now
+    /// and then it is sent to the leader again: else it would depend on two nodes and
+    /// the way between them for ever.
+    fn lost_way(&mut self, report: &WorkerReport, claim: u64) -> bool {
+        let now = self.now();
+        let knows = report.token >> 16 == claim;
+        if knows && !self.hears_leader() {
+            return true;
+        }
+        match self.relays.tried.get(&report.machine) {
+            Some(at) => now < *at + self.config.worker_lease_bound * 2,
+            None if knows && self.turned(claim) => {
+                self.relays.tried.insert(report.machine.clone(), now);
+                true
+            }
+            None => false,
+        }
+    }
+
     /// Another node that leads, and its claim.
     fn other_leader(&self) -> Option<(String, u64)> {
         let (record, version) = self.mirror.leader.as_ref()?;
@@ -232,9 +246,9 @@
             let waiting = entry.remove();
             self.answer(waiting.request, Answer::Redirect(None));
         }
-        let keep = self.config.worker_lease_bound;
-        if self.relays.redirected.len() > 64 {
-            self.relays.redirected.retain(|_, at| now < *at + keep);
+        let keep = self.config.worker_lease_bound * 4;
+        if self.relays.tried.len() > 64 {
+            self.relays.tried.retain(|_, at| now < *at + keep);
         }
         if now < self.relays.next_digest || !self.leads() {
             return;
