The simulated world at 40 and 1,000 machines, with the hard cases of membership in pairs

Change: worlds of any size; cases that are brought about on purpose, alone and in all pairs; a claim that vanishes before its leader has stopped is caught as ran_twice.

--- /dev/null
+++ b/tests/world/cases.rs
@@ -0,0 +1,107 @@
+//! The hard cases of membership and hand-over, each brought about on purpose.
+
+use std::time::Duration;
+
+use kiteyard::core::store::{Change, StateReply, StateRequest};
+
+use crate::sim::{Cut, Event, NODES, World, ms};
+
+/// One trouble, and for how long.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Case {
+    /// No worker reaches the leader, nor it any worker.
+    Blind,
+    /// The same for the workers of one zone.
+    BlindToZone,
+    /// Two nodes that each hear half of the zones, and neither the other half.
+    HalfEach,
+    /// Nodes refuse one another's connections.
+    PeersRefuse,
+    /// The leader's process stands still in the middle of a step.
+    Stands,
+    StateSlow,
+    /// All nodes are restarted, one after the other.
+    Roll,
+    /// A zone is cut off from everything, its node from the state service as well.
+    ZoneCut,
+    /// A fifth of the machines hang and go on within their lease.
+    Hang,
+    /// The leader's claim vanishes while it goes on leading a zone of its own: what an
+    /// unsafe hand-over would do.
+    VacatedEarly,
+}
+
+impl World {
+    /// The node that leads by the stored key.
+    fn leading(&mut self) -> usize {
+        let key = "live/leader".to_owned();
+        let reply = self.state.call(self.now, &StateRequest::Get { key });
+        match reply {
+            Some(StateReply::Entry(entry)) => (0..NODES)
+                .find(|n| entry.value.get().contains(&format!("\"n{n}\"")))
+                .unwrap_or(0),
+            _ => 0,
+        }
+    }
+
+    fn cut(&mut self, node: usize, zone: usize, until: Duration) {
+        self.cuts.push(Cut {
+            node,
+            zone,
+            until,
+            reset: false,
+        });
+    }
+
+    fn zone_off(&mut self, zone: usize, until: Duration) {
+        self.unreached[zone] = until;
+        for other in (0..NODES).filter(|other| *other != zone) {
+            self.cut(zone, other, until);
+            self.cut(other, zone, until);
+        }
+    }
+
+    pub fn bring(&mut self, case: Case, lasts: Duration) {
+        let leader = self.leading();
+        let until = self.now + lasts;
+        match case {
+            Case::Blind => self.workers_apart[leader] = until,
+            Case::BlindToZone => self.cut(leader, (leader + 1) % NODES, until),
+            Case::HalfEach => {
+                let other = (leader + 1) % NODES;
+                self.cut(leader, other, until);
+                self.cut(other, leader, until);
+            }
+            Case::PeersRefuse => self.peers_apart = until,
+            Case::Stands => self.freezes[leader] = Some(lasts),
+            Case::StateSlow => self.slow_until = until,
+            Case::Roll => {
+                for node in 0..NODES {
+                    self.push(self.now + lasts * node as u32, Event::Crash(node));
+                }
+            }
+            Case::ZoneCut => self.zone_off((leader + 1) % NODES, until),
+            Case::Hang => {
+                for worker in self.workers.values_mut().step_by(5) {
+                    worker.hung_until = until;
+                }
+            }
+            Case::VacatedEarly => {
+                self.zone_off(leader, until);
+                let changes = vec![Change::Delete {
+                    key: "live/leader".to_owned(),
+                }];
+                let conditions = Vec::new();
+                let vacate = StateRequest::Txn {
+                    conditions,
+                    changes,
+                };
+                self.state.call(self.now, &vacate);
+                self.wake_watches();
+            }
+        }
+    }
+}
+
+/// A time well within a worker's lease at every size.
+pub const WITHIN_LEASE: Duration = ms(3500);
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -2,11 +2,15 @@
 //! users, with late and lost messages, crashes, cuts, outages and drift. An
 //! observer that knows nothing of the cores checks the protocol's rules.
 
+mod cases;
 mod observer;
 mod sim;
 mod state;
 
-use sim::{Sabotage, World};
+use std::time::Duration;
+
+use cases::{Case, WITHIN_LEASE};
+use sim::{LARGE, MEDIUM, Sabotage, Scale, World};
 
 /// Runs one world and says which rules were broken.
 fn run(seed: u64, sabotage: Sabotage) -> Vec<String> {
@@ -88,3 +92,80 @@
 fn an_unproven_copy_is_caught() {
     caught(Sabotage::UnprovenAnswers, "went_back");
 }
+
+/// The cases of membership: alone, and in pairs where the second finds the service at
+/// its weakest.
+const CASES: [(Case, u64); 9] = [
+    (Case::Blind, 15),
+    (Case::BlindToZone, 15),
+    (Case::HalfEach, 15),
+    (Case::PeersRefuse, 20),
+    (Case::Stands, 9),
+    (Case::StateSlow, 12),
+    (Case::Roll, 4),
+    (Case::ZoneCut, 15),
+    (Case::Hang, 0),
+];
+
+/// More than a few seeds of these are run by hand.
+fn seeds(few: u64) -> std::ops::Range<u64> {
+    let many = std::env::var("KITEYARD_WORLD_SEEDS").ok();
+    0..many.and_then(|text| text.parse().ok()).unwrap_or(few)
+}
+
+fn lasts((case, seconds): (Case, u64)) -> Duration {
+    match case {
+        Case::Hang => WITHIN_LEASE,
+        _ => Duration::from_secs(seconds),
+    }
+}
+
+fn keeps_the_rules(scale: Scale, seed: u64, troubles: &[(Case, u64)]) {
+    let mut world = World::sized(scale, seed, Sabotage::None);
+    for (number, trouble) in troubles.iter().enumerate() {
+        world = world.with(20_000 + 4_000 * number as u64, trouble.0, lasts(*trouble));
+    }
+    world.run();
+    let what = format!("seed {seed}, {troubles:?}");
+    assert_eq!(world.observer.broken(), Vec::<String>::new(), "{what}");
+    assert!(world.observer.starts > 40, "{what}: ran too little");
+    assert!(world.observer.finished > 8, "{what}: finished too little");
+}
+
+#[test]
+fn rules_hold_in_each_case_of_membership() {
+    for seed in seeds(2) {
+        for case in CASES {
+            keeps_the_rules(MEDIUM, seed, &[case]);
+        }
+        let leader_stands = [1, 2, 5, 20, 40, 70].map(|s| (Case::Stands, s));
+        for stands in leader_stands {
+            keeps_the_rules(MEDIUM, seed, &[stands]);
+        }
+    }
+}
+
+#[test]
+fn rules_hold_in_pairs_of_cases() {
+    for seed in seeds(1) {
+        for first in CASES {
+            for second in CASES.into_iter().filter(|c| *c != first) {
+                keeps_the_rules(MEDIUM, seed, &[first, second]);
+            }
+        }
+    }
+}
+
+#[test]
+fn rules_hold_with_a_thousand_machines() {
+    for seed in seeds(1) {
+        let blind = [(Case::PeersRefuse, 12), (Case::Blind, 20)];
+        keeps_the_rules(LARGE, seed, &blind);
+    }
+}
+
+/// A leadership that is given away before its holder has stopped.
+#[test]
+fn a_claim_that_vanishes_before_its_leader_has_stopped_is_caught() {
+    caught(Sabotage::VacatesEarly, "ran_twice");
+}
--- a/tests/world/sim.rs
+++ b/tests/world/sim.rs
@@ -18,13 +18,14 @@
             Why, WorkerReport,
         },
         roster::ShardRecord,
-        store::{Change, StateReply, StateRequest},
+        store::{Change, Entry, StateReply, StateRequest},
     },
     settings::Settings,
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 use crate::{
+    cases::Case,
     observer::{Observer, Running},
     state::State,
 };
@@ -40,25 +41,86 @@
     ForgetEnds,
     BelieveRunning,
     UnprovenAnswers,
+    VacatesEarly,
 }
 
-const NODES: usize = 3;
+pub const NODES: usize = 3;
 const ZONES: [&str; 3] = ["a", "b", "c"];
-const LENGTH: Duration = Duration::from_secs(150);
-const LEASE: Duration = Duration::from_secs(5);
-const REPORT: Duration = Duration::from_millis(800);
-const CANCEL: Duration = Duration::from_secs(20);
-const GANG_WAIT: Duration = Duration::from_secs(12);
 const CPUS: f64 = 8.0;
-const MACHINES_MOST: usize = 12;
-const TEAM_LIMIT: f64 = 20.0;
 
-fn ms(value: u64) -> Duration {
+/// How large a world is, and how fast its clocks tick.
+#[derive(Debug, Clone, Copy)]
+pub struct Scale {
+    pub length: Duration,
+    lease: Duration,
+    report: Duration,
+    cancel: Duration,
+    gang_wait: Duration,
+    /// Machines at the start, and at most.
+    machines: usize,
+    machines_most: usize,
+    jobs: usize,
+    /// How many times as large arrays are.
+    tasks: u32,
+    team_limit: f64,
+    /// How often a worker looks at what is due.
+    look: Duration,
+    value_kb: f64,
+    troubles: usize,
+}
+
+/// Small values, so that the roster has many shards.
+pub const SMALL: Scale = Scale {
+    length: Duration::from_secs(150),
+    lease: Duration::from_secs(5),
+    report: ms(800),
+    cancel: Duration::from_secs(20),
+    gang_wait: Duration::from_secs(12),
+    machines: 6,
+    machines_most: 12,
+    jobs: 30,
+    tasks: 1,
+    team_limit: 20.0,
+    look: ms(50),
+    value_kb: 0.75,
+    troubles: 9,
+};
+
+/// 40 machines, without troubles of its own.
+pub const MEDIUM: Scale = Scale {
+    length: Duration::from_secs(90),
+    machines: 40,
+    machines_most: 60,
+    jobs: 50,
+    tasks: 4,
+    team_limit: 100.0,
+    value_kb: 4.0,
+    troubles: 0,
+    ..SMALL
+};
+
+/// 1,000 machines that report as seldom as a large fleet's do.
+pub const LARGE: Scale = Scale {
+    length: Duration::from_secs(75),
+    lease: Duration::from_secs(15),
+    report: Duration::from_secs(3),
+    cancel: Duration::from_secs(40),
+    machines: 1000,
+    machines_most: 1050,
+    jobs: 90,
+    tasks: 20,
+    team_limit: 1500.0,
+    look: ms(250),
+    value_kb: 16.0,
+    ..MEDIUM
+};
+
+pub const fn ms(value: u64) -> Duration {
     Duration::from_millis(value)
 }
 
 #[derive(Debug)]
-enum Event {
+pub enum Event {
     Tick(usize),
     ToNode(usize, u64, Input),
     AtState(usize, u64, CallId, StateRequest),
@@ -72,10 +134,12 @@
     /// What a process had decided when it was stopped goes out now.
     Outputs(usize, u64, Vec<Output>),
     OutageEnds,
+    Crash(usize),
+    Bring(Case, Duration),
 }
 
 #[derive(Debug)]
-enum ToWorker {
+pub enum ToWorker {
     Answer(u64, Answer),
     Do(usize, u64, CallId, Direct),
 }
@@ -99,7 +163,7 @@
     until: Duration,
 }
 
-struct Worker {
+pub struct Worker {
     zone: usize,
     spot: bool,
     session: u64,
@@ -111,7 +175,7 @@
     in_flight: Option<(u64, Duration)>,
     next_report: Duration,
     last_sent: Duration,
-    hung_until: Duration,
+    pub hung_until: Duration,
     /// How fast its clock goes.
     pace: f64,
     reports: u64,
@@ -126,15 +190,16 @@
     faulty: bool,
 }
 
-struct Cut {
-    node: usize,
-    zone: usize,
-    until: Duration,
-    reset: bool,
+pub struct Cut {
+    pub node: usize,
+    pub zone: usize,
+    pub until: Duration,
+    pub reset: bool,
 }
 
 pub struct World {
-    now: Duration,
+    scale: Scale,
+    pub now: Duration,
     rng: StdRng,
     sabotage: Sabotage,
     events: BTreeMap<(Duration, u64), Event>,
@@ -146,33 +211,33 @@
     paces: Vec<f64>,
     asked: HashMap<(usize, u64, RequestId), Asker>,
     next_request: RequestId,
-    state: State,
+    pub state: State,
     watches: Vec<(usize, u64, CallId, StateRequest, Duration)>,
     outage: bool,
     refused: Vec<Duration>,
     /// Nodes refuse one another's connections until then.
-    peers_apart: Duration,
+    pub peers_apart: Duration,
     /// The state service answers slowly until then.
-    slow_until: Duration,
+    pub slow_until: Duration,
     /// Nothing from these nodes gets to the state service, until when.
-    unreached: Vec<Duration>,
+    pub unreached: Vec<Duration>,
     /// These nodes stand still, until when; the next step of one ends there.
     frozen: Vec<Duration>,
-    freezes: Vec<Option<Duration>>,
+    pub freezes: Vec<Option<Duration>>,
     /// No worker reaches these nodes, nor they any worker, until when.
-    workers_apart: Vec<Duration>,
+    pub workers_apart: Vec<Duration>,
     cloud_away: Duration,
-    workers: BTreeMap<String, Worker>,
+    pub workers: BTreeMap<String, Worker>,
     booting: BTreeMap<String, (usize, bool, Duration)>,
     rentals: HashMap<String, Vec<Arc<str>>>,
     next_machine: u64,
     jobs: Vec<Job>,
     results: BTreeSet<TaskId>,
-    cuts: Vec<Cut>,
+    pub cuts: Vec<Cut>,
     pub observer: Observer,
 }
 
-fn settings(node: usize) -> Settings {
+fn settings(node: usize, scale: &Scale) -> Settings {
     let peers: Vec<_> = (0..NODES)
         .filter(|n| *n != node)
         .map(|n| serde_json::json!({"label": format!("n{n}"), "site": ZONES[n], "peer_addr": "127.0.0.1:1"}))
@@ -183,10 +248,10 @@
         "outside": {"cloud": "127.0.0.1:3", "state": "127.0.0.1:4"},
         "params": {
             "zones": ZONES,
-            "teams": [{"name": "red", "cpus": 8.0, "cpus_max": TEAM_LIMIT}, {"name": "blue"}],
-            "workers": {"report_s": REPORT.as_secs_f64(), "lease_s": LEASE.as_secs_f64(),
-                "gang_wait_s": GANG_WAIT.as_secs_f64(), "gang_peer_s": 3.0, "cancel_s": CANCEL.as_secs_f64()},
-            "state": {"rps": 200.0, "write_rps": 100.0, "value_kb": 0.75, "txn_ops": 16},
+            "teams": [{"name": "red", "cpus": 8.0, "cpus_max": scale.team_limit}, {"name": "blue"}],
+            "workers": {"report_s": scale.report.as_secs_f64(), "lease_s": scale.lease.as_secs_f64(),
+                "gang_wait_s": scale.gang_wait.as_secs_f64(), "gang_peer_s": 3.0, "cancel_s": scale.cancel.as_secs_f64()},
+            "state": {"rps": 200.0, "write_rps": 100.0, "value_kb": scale.value_kb, "txn_ops": 16},
             "cloud": {"rps": 10.0, "list_lag_s": 3.0},
             "resources": {"sockets": 500}
         }
@@ -196,7 +261,12 @@
 
 impl World {
     pub fn new(seed: u64, sabotage: Sabotage) -> Self {
+        Self::sized(SMALL, seed, sabotage)
+    }
+
+    pub fn sized(scale: Scale, seed: u64, sabotage: Sabotage) -> Self {
         let mut world = Self {
+            scale,
             now: Duration::ZERO,
             rng: StdRng::seed_from_u64(seed),
             sabotage,
@@ -227,28 +297,42 @@
             jobs: Vec::new(),
             results: BTreeSet::new(),
             cuts: Vec::new(),
-            observer: Observer::new(CANCEL, "red", TEAM_LIMIT),
+            observer: Observer::new(scale.cancel, "red", scale.team_limit),
         };
         for node in 0..NODES {
             world.restart(node);
         }
-        for i in 0..6 {
+        for i in 0..scale.machines {
             world.rent(i % 3, false, ms(1));
         }
-        for i in 0..30 {
+        for i in 0..scale.jobs {
             let job = world.make_job(i);
             world.jobs.push(job);
-            let at = ms(world.rng.random_range(100..110_000));
+            let at = ms(world
+                .rng
+                .random_range(100..scale.length.as_millis() as u64 * 11 / 15));
             world.push(at, Event::User(i));
         }
-        for _ in 0..9 {
+        if sabotage == Sabotage::VacatesEarly {
+            for at in [20_000, 55_000, 90_000] {
+                world = world.with(at, Case::VacatedEarly, Duration::from_secs(15));
+            }
+        }
+        for _ in 0..scale.troubles {
             let at = ms(world.rng.random_range(8_000..120_000));
             world.push(at, Event::Trouble);
         }
         world
     }
 
+    /// Brings about a case at a time.
+    pub fn with(mut self, at: u64, case: Case, lasts: Duration) -> Self {
+        self.push(ms(at), Event::Bring(case, lasts));
+        self
+    }
+
     fn make_job(&mut self, i: usize) -> Job {
+        let scale = self.scale;
         let rng = &mut self.rng;
         let kind = match rng.random_range(0..10) {
             0..6 => Kind::Array,
@@ -256,7 +340,7 @@
             _ => Kind::Gang,
         };
         let tasks = match kind {
-            Kind::Array => rng.random_range(1..12),
+            Kind::Array => rng.random_range(1..12) * scale.tasks,
             Kind::Service => rng.random_range(1..4),
             Kind::Gang => rng.random_range(2..4),
         };
@@ -309,7 +393,7 @@
 
     pub fn run(&mut self) {
         while let Some((&key, _)) = self.events.first_key_value() {
-            if key.0 > LENGTH {
+            if key.0 > self.scale.length {
                 break;
             }
             let event = self.events.remove(&key).expect("just seen");
@@ -319,7 +403,7 @@
         }
     }
 
-    fn push(&mut self, at: Duration, event: Event) {
+    pub fn push(&mut self, at: Duration, event: Event) {
         self.next_event += 1;
         self.events
             .insert((at.max(self.now), self.next_event), event);
@@ -355,7 +439,7 @@
     }
 
     fn restart(&mut self, node: usize) {
-        let settings = settings(node);
+        let settings = settings(node, &self.scale);
         let mut config = Config::new(&settings, Options::default());
         match self.sabotage {
             Sabotage::NoWorkerLease => config.worker_lease_bound = ms(1200),
@@ -509,6 +593,8 @@
             Event::User(i) => self.user(i),
             Event::Trouble => self.trouble(),
             Event::Restart(node) => self.restart(node),
+            Event::Crash(node) => self.crash(node),
+            Event::Bring(case, lasts) => self.bring(case, lasts),
             Event::OutageEnds => {
                 self.outage = false;
                 self.state.outage_over(self.now);
@@ -566,7 +652,7 @@
         self.reply_state(node, epoch, call, reply);
     }
 
-    fn wake_watches(&mut self) {
+    pub fn wake_watches(&mut self) {
         for (node, epoch, call, request, until) in std::mem::take(&mut self.watches) {
             if self.now >= until {
                 continue;
@@ -659,7 +745,7 @@
                     .expect("a zone");
                 let mut names = Vec::new();
                 for _ in 0..rental.count {
-                    if self.workers.len() + self.booting.len() < MACHINES_MOST {
+                    if self.workers.len() + self.booting.len() < self.scale.machines_most {
                         let boot = ms(self.rng.random_range(500..6_000));
                         names.push(Arc::from(self.rent(zone, rental.spot, boot)));
                     }
@@ -742,18 +828,18 @@
         // A hanging machine is back within its lease or has lost its tasks.
         self.lease_check(name);
         if self.workers[name].hung_until > now {
-            self.push(now + ms(50), Event::WorkerTick(name.to_owned()));
+            self.push(now + self.scale.look, Event::WorkerTick(name.to_owned()));
             return;
         }
         self.run_tasks(name);
         self.maybe_report(name);
-        self.push(now + ms(50), Event::WorkerTick(name.to_owned()));
+        self.push(now + self.scale.look, Event::WorkerTick(name.to_owned()));
     }
 
     fn lease_check(&mut self, name: &str) {
         let now = self.now;
         let worker = self.workers.get_mut(name).expect("known worker");
-        if (now - worker.lease_from).mul_f64(worker.pace) <= LEASE {
+        if (now - worker.lease_from).mul_f64(worker.pace) <= self.scale.lease {
             return;
         }
         worker.session += 1;
@@ -790,7 +876,7 @@
                 self.workers.values().map(with).sum::<usize>() == spec.tasks as usize
             };
             let runs_until = match spec.kind {
-                Kind::Service => LENGTH * 2,
+                Kind::Service => self.scale.length * 2,
                 _ => now + ms(1500 + u64::from(key.0.index % 7) * 700),
             };
             let next = match phase {
@@ -806,7 +892,7 @@
                     if self.results.contains(&key.0) {
                         Some((TaskPhase::Exited(Why::Done), now))
                     } else if spec.kind == Kind::Gang {
-                        Some((TaskPhase::Waiting, now + GANG_WAIT))
+                        Some((TaskPhase::Waiting, now + self.scale.gang_wait))
                     } else {
                         Some((TaskPhase::Running, runs_until))
                     }
@@ -954,7 +1040,7 @@
                     return;
                 }
                 worker.in_flight = None;
-                worker.next_report = now + REPORT;
+                worker.next_report = now + self.scale.report;
                 match answer {
                     Answer::Commands { token, commands } if token >= worker.token => {
                         let news = token > worker.token;
@@ -1076,7 +1162,8 @@
             Some(StateReply::Entries { entries, .. }) => entries,
             _ => Vec::new(),
         };
-        let listed = entries.iter().any(|entry| {
+        let holds = |entry: &&Entry| entry.value.get().contains(name);
+        let listed = entries.iter().filter(holds).any(|entry| {
             let record: ShardRecord =
                 serde_json::from_str(entry.value.get()).expect("a shard of the roster");
             let mut machines = record.machines();
