--- a/src/core/config.rs
+++ b/src/core/config.rs
@@ -8,6 +8,10 @@
 /// one in so many, and so do the followers' watches.
 const PROOF_SHARE: f64 = 6.0;
 const WATCH_SHARE: f64 = 5.0;
+/// A round looks at every machine. It takes the same part of the processor however
+/// many there are: for each this time of a whole core, and a larger share of one
+/// allows for more rounds.
+const ROUND_PER_MACHINE: Duration = Duration::from_micros(18);
 /// Steady clocks may differ by this share.
 const DRIFT: f64 = 0.001;
 
@@ -46,6 +50,8 @@
     /// How long the leader may act, counted from when it asked for the renewal.
     pub leader_term: Duration,
     pub renew_every: Duration,
+    /// What each machine adds to the time between two of the leader's rounds.
+    pub round_per_machine: Duration,
     /// A leader that was not heard for so long is missed. A process that ended is
     /// mostly back by then and knows more than any other node; in the time that is
     /// left of a worker's lease another one has to take over and answer it.
@@ -94,6 +100,8 @@
             leader_ttl,
             leader_term: leader_ttl.mul_f64(1.0 - 2.0 * DRIFT).saturating_sub(margin),
             leader_silent: super::pulse::leader_silent(seconds(workers.lease_s)),
+            round_per_machine: ROUND_PER_MACHINE
+                .div_f64(params.resources.cpu_share.clamp(0.05, 1.0)),
             renew_every: (leader_ttl / 8).min(Duration::from_millis(1500)),
             sync_every: seconds(PROOF_SHARE * nodes as f64 / params.state.rps),
             watch_every: seconds(WATCH_SHARE * nodes as f64 / params.state.rps),
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -233,11 +233,8 @@
 const STATE_TIMEOUT: Duration = Duration::from_millis(1500);
 const WATCH_WAIT: Duration = Duration::from_secs(10);
 const BACK_OFF: Duration = Duration::from_millis(300);
-/// The least time between two rounds of what the leader does by itself, and what
-/// each machine adds to it: a round looks at all of them, and takes the same share
-/// of the processor however many there are.
+/// The least time between two rounds of what the leader does by itself.
 const ROUND: Duration = Duration::from_millis(20);
-const ROUND_PER_MACHINE: Duration = Duration::from_micros(150);
 /// Final states kept in memory, so that polls for them need no request.
 const FINALS_KEPT: usize = 4096;
 
@@ -401,7 +398,8 @@
             }
             return;
         }
-        leader.next_round = now + ROUND + ROUND_PER_MACHINE * leader.machines.len() as u32;
+        leader.next_round =
+            now + ROUND + self.config.round_per_machine * leader.machines.len() as u32;
         self.pump_outlook();
         let Some(leader) = &mut self.leader else {
             return;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -109,9 +109,17 @@
 
 #[derive(Debug, Clone, Deserialize)]
 pub struct Resources {
+    /// Of one core.
+    #[serde(default = "tenth")]
+    pub cpu_share: f64,
     pub sockets: usize,
 }
 
+/// Where the platform does not say, a node is taken to be a small one.
+fn tenth() -> f64 {
+    0.1
+}
+
 impl Settings {
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
         let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Read {
@@ -164,6 +172,7 @@
             ("params.state.write_rps", params.state.write_rps),
             ("params.state.value_kb", params.state.value_kb),
             ("params.cloud.rps", params.cloud.rps),
+            ("params.resources.cpu_share", params.resources.cpu_share),
         ] {
             if !(value > 0.0 && value < 1e6) {
                 return fail(field, "must be a number above zero");
