Arrays of one priority take rooms with their image first

Change: arrays of one priority first take, in their order, rooms that have their image; the rest goes to them in the same order in the same pass. One that got nothing this way for as long as its fetch takes comes in its turn.

--- a/src/core/images.rs
+++ b/src/core/images.rs
@@ -75,6 +75,13 @@
         }
     }
 
+    /// About how long the image takes to arrive on a machine that fetches nothing else.
+    pub(super) fn fetch_alone(&self, spec: &JobSpec) -> f64 {
+        let types = self.types.iter().filter(|t| spec.allows_type(&t.name));
+        let rate = types.map(|t| t.fetch_gb_per_s).fold(0.01, f64::max);
+        spec.image_gb / rate
+    }
+
     /// About how long the image takes to arrive there.
     pub(super) fn fetch_time(&self, machine: &Machine, spec: &JobSpec) -> f64 {
         if machine.has_image(&spec.image) {
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -59,6 +59,8 @@
     /// Tries since the job was found to fail.
     pub(super) probes: u32,
     pub retry_at: Duration,
+    /// Since when it found no room with its image, see `near`.
+    pub(super) passed_over: Option<Duration>,
     /// Machines held for waiting tasks, one entry a task.
     pub nominations: Vec<MachineId>,
 }
@@ -94,6 +96,7 @@
             told_faulty: false,
             probes: 0,
             retry_at: Duration::ZERO,
+            passed_over: None,
             nominations: Vec::new(),
             spec,
         }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -16,6 +16,7 @@
 pub mod machine;
 pub mod members;
 pub mod mirror;
+pub mod near;
 pub mod order;
 pub mod pulse;
 pub mod queue;
--- a/src/core/queue.rs
+++ b/src/core/queue.rs
@@ -47,6 +47,17 @@
             .collect();
     }
 
+    /// The job that `pop` gives next.
+    pub fn peek(&mut self) -> Option<&JobId> {
+        while let Some((_, _, Reverse(id))) = self.heap.peek() {
+            if self.queued.contains(id) {
+                break;
+            }
+            self.heap.pop();
+        }
+        self.heap.peek().map(|(_, _, Reverse(id))| id)
+    }
+
     pub fn pop(&mut self) -> Option<JobId> {
         while let Some((_, _, Reverse(id))) = self.heap.pop() {
             if self.queued.remove(&id) {
--- a/src/core/sched.rs
+++ b/src/core/sched.rs
@@ -112,7 +112,7 @@
     }
 }
 
-struct View {
+pub(super) struct View {
     /// Emptied when nominations change, and with them what is held and stopped.
     hopeless: Vec<Hopeless>,
     rooms: Vec<Room>,
@@ -121,7 +121,7 @@
     /// The part of it that is stopping.
     leaving: Usage,
     /// Tasks of the job at hand by zone, and the replicas by machine.
-    zones: BTreeMap<Arc<str>, u32>,
+    pub(super) zones: BTreeMap<Arc<str>, u32>,
 }
 
 /// Victims on one machine.
@@ -161,39 +161,65 @@
         self.queue.rank(&places);
         let mut view = self.view(now);
         self.shut = self.held_up(now);
-        while let Some(id) = self.queue.pop() {
-            let Some(job) = self.jobs.get(&id) else {
-                continue;
-            };
-            if job.waiting_count() == 0 {
-                continue;
-            }
-            if job.retry_at > now || self.held(&id, job) {
-                if job.retry_at > now {
-                    let next = self.next_retry.unwrap_or(Duration::MAX);
-                    self.next_retry = Some(next.min(job.retry_at));
+        // Arrays that were given what has their image, in their order.
+        let mut near: Vec<JobId> = Vec::new();
+        loop {
+            if !self.beside(near.first()) {
+                for id in std::mem::take(&mut near) {
+                    self.place_job(&mut view, id, now);
                 }
-                self.queue.park(id);
-                continue;
             }
-            let spec = job.spec.clone();
-            if self.shut.is_some_and(|shut| spec.priority <= shut) {
+            let Some(id) = self.queue.pop() else { break };
+            if self.waits(&view, &id, now) {
                 self.queue.park(id);
-                continue;
+            } else if self
+                .jobs
+                .get(&id)
+                .is_some_and(|job| self.goes_near(job, now))
+            {
+                self.place_near(&mut view, &id, now);
+                near.push(id);
+            } else {
+                self.place_job(&mut view, id, now);
             }
+        }
+    }
+
+    /// Whether nothing is to be tried for the job in this pass.
+    fn waits(&mut self, view: &View, id: &JobId, now: Duration) -> bool {
+        let Some(job) = self.jobs.get(id) else {
+            return false;
+        };
+        if job.retry_at > now {
+            let next = self.next_retry.unwrap_or(Duration::MAX);
+            self.next_retry = Some(next.min(job.retry_at));
+            return true;
+        }
+        let spec = &job.spec;
+        self.held(id, job)
+            || self.shut.is_some_and(|shut| spec.priority <= shut)
             // A nominated job may have room that is held for itself alone.
-            if job.nominations.is_empty() && view.hopeless.iter().any(|h| h.covers(&spec)) {
-                self.queue.park(id);
-                continue;
-            }
-            view.zones = self.zones(&id);
-            let all = match spec.kind {
-                Kind::Gang => self.place_gang(&mut view, &id, &spec, now),
-                _ => self.place_tasks(&mut view, &id, &spec, now),
-            };
-            if !all {
-                self.queue.park(id);
-            }
+            || (job.nominations.is_empty() && view.hopeless.iter().any(|h| h.covers(spec)))
+    }
+
+    /// Places all of a job that has room anywhere, or makes room for it.
+    fn place_job(&mut self, view: &mut View, id: JobId, now: Duration) {
+        let Some(job) = self.jobs.get(&id).filter(|job| job.waiting_count() > 0) else {
+            return;
+        };
+        let spec = job.spec.clone();
+        let hopeless = view.hopeless.iter().any(|h| h.covers(&spec));
+        if job.nominations.is_empty() && hopeless {
+            self.queue.park(id);
+            return;
+        }
+        view.zones = self.zones(&id);
+        let all = match spec.kind {
+            Kind::Gang => self.place_gang(view, &id, &spec, now),
+            _ => self.place_tasks(view, &id, &spec, now),
+        };
+        if !all {
+            self.queue.park(id);
         }
     }
 
@@ -270,7 +296,7 @@
     }
 
     /// Zones that tasks of the job are in, the stopping ones included.
-    fn zones(&self, id: &JobId) -> BTreeMap<Arc<str>, u32> {
+    pub(super) fn zones(&self, id: &JobId) -> BTreeMap<Arc<str>, u32> {
         let mut zones = BTreeMap::new();
         let spec = &self.jobs[id].spec;
         if spec.one_zone || spec.spread || spec.kind == Kind::Service {
@@ -288,8 +314,28 @@
     /// Fills the best rooms for an array's tasks, the best one first. A task that
     /// is placed changes the cost of its own room only, and makes that the better
     /// one for the next: the rooms need to be compared but once.
-    fn fill_rooms(&mut self, view: &mut View, id: &JobId, spec: &Arc<JobSpec>, now: Duration) {
+    ///
+    /// With `near`, only rooms that have its image, or are about to.
+    pub(super) fn fill_rooms(
+        &mut self,
+        view: &mut View,
+        id: &JobId,
+        spec: &Arc<JobSpec>,
+        near: bool,
+        now: Duration,
+    ) {
+        let failed_on = &self.jobs[id].failed_on;
+        let has_image = |room: &Room| {
+            let machine = &self.machines[&room.id];
+            // One that failed tasks is the last resort, whatever its cache holds.
+            let sound = machine.failures.is_empty() && !failed_on.contains(&room.id);
+            sound && (machine.has_image(&spec.image) || machine.fetches(&spec.image))
+        };
         let mut costs: Vec<(f64, usize)> = (0..view.rooms.len())
+            .filter(|room| {
+                let room = &view.rooms[*room];
+                !near || (spec.need.fits_in(&room.free) && has_image(room))
+            })
             .filter_map(|room| Some((self.cost(view, room, spec, now)?, room)))
             .collect();
         costs.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
@@ -324,7 +370,7 @@
         now: Duration,
     ) -> bool {
         if spec.kind == Kind::Array {
-            self.fill_rooms(view, id, spec, now);
+            self.fill_rooms(view, id, spec, false, now);
         }
         while let Some(index) = self.jobs.get_mut(id).and_then(|j| j.next_waiting()) {
             if self.over_limit(view, spec, 1) || self.jobs[id].tries_enough() {
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -1097,3 +1097,46 @@
     c.pass();
     assert_eq!(c.leader.holding().unlisted, 8, "the rest follows");
 }
+
+/// In a rush the next array in the order took every room that fell free, and fetched its
+/// image there, though another one that waited had its image in the cache.
+#[test]
+fn arrays_of_one_priority_take_rooms_with_their_image_first() {
+    let mut c = Cluster::new(4.0);
+    let image = |number: usize, image: &str| JobSpec {
+        image: Arc::from(image),
+        ..spec(number, Kind::Array, Priority::Normal, 1, 4.0)
+    };
+    for name in ["vm-1", "vm-2"] {
+        c.machine(name);
+    }
+    let cached = [("vm-1", "b"), ("vm-2", "a")];
+    for (name, image) in cached {
+        let machine = c.leader.machines.get_mut(name).expect("known");
+        machine.images.insert(Arc::from(image), Duration::ZERO);
+    }
+    let first = c.job(image(1, "a"));
+    let second = c.job(image(2, "b"));
+    c.pass();
+    assert_eq!(c.on(&first), ["vm-2"]);
+    assert_eq!(c.on(&second), ["vm-1"]);
+    // Nothing stays empty for it: one whose image is nowhere takes what is left.
+    c.machine("vm-3");
+    let third = c.job(image(3, "c"));
+    c.pass();
+    assert_eq!(c.on(&third), ["vm-3"]);
+    c.starts();
+    for name in ["vm-1", "vm-2", "vm-3"] {
+        c.report(name);
+    }
+    // One that was passed over for as long as its fetch takes comes in its turn.
+    let fourth = c.job(image(4, "d"));
+    let fifth = c.job(image(5, "b"));
+    c.pass();
+    c.now += Duration::from_secs(2);
+    c.ends("vm-1", &second, Why::Done);
+    c.leader.requeue();
+    c.pass();
+    assert_eq!(c.on(&fourth), ["vm-1"]);
+    assert_eq!(c.on(&fifth), Vec::<String>::new());
+}
