Relays serve workers whose lease is half over first; a package for counted licences

Need: hundreds of workers may come to a node at once, and those that were not answered for long can't wait. The service does not use it yet.

--- /dev/null
+++ b/crates/licences/src/config.rs
@@ -0,0 +1,125 @@
+//! The operators' file: which licences there are, and what part is for whom.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use serde::Deserialize;
+
+#[derive(Debug, thiserror::Error, PartialEq)]
+pub enum ConfigError {
+    /// Not a file of this form; the message names the line.
+    #[error("licences: {0}")]
+    Form(String),
+    #[error("licences: `{licence}.{field}`: {message}")]
+    Field {
+        licence: String,
+        field: String,
+        message: String,
+    },
+}
+
+/// One licence.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Licence {
+    pub seats: u32,
+    /// How long a seat stays taken after its task is proven gone: counters give seats
+    /// back late.
+    pub linger: Duration,
+    /// Seats that are kept for a team, and that it may have at most.
+    pub teams: BTreeMap<String, Share>,
+    /// Where its counter is, if it has one.
+    pub counter: Option<SocketAddr>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Share {
+    #[serde(default)]
+    pub least: u32,
+    pub most: Option<u32>,
+}
+
+/// All licences by name.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Config {
+    pub licences: BTreeMap<String, Licence>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct File {
+    #[serde(default)]
+    licence: BTreeMap<String, Entry>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Entry {
+    seats: u32,
+    #[serde(default)]
+    linger_s: f64,
+    counter: Option<SocketAddr>,
+    #[serde(default)]
+    team: BTreeMap<String, Share>,
+}
+
+const NAME_MOST: usize = 64;
+const SEATS_MOST: u32 = 1_000_000;
+const LINGER_MOST: f64 = 86_400.0;
+
+impl Config {
+    pub fn parse(text: &str) -> Result<Self, ConfigError> {
+        let file: File = toml::from_str(text).map_err(|error| {
+            let line = error
+                .span()
+                .map(|span| text[..span.start.min(text.len())].matches('\n').count() + 1);
+            let at = line.map_or(String::new(), |line| format!("line {line}: "));
+            ConfigError::Form(format!("{at}{}", error.message().replace('\n', " ")))
+        })?;
+        let mut licences = BTreeMap::new();
+        for (name, entry) in file.licence {
+            let licence = entry.check(&name)?;
+            licences.insert(name, licence);
+        }
+        Ok(Self { licences })
+    }
+}
+
+impl Entry {
+    fn check(self, name: &str) -> Result<Licence, ConfigError> {
+        let fail = |field: &str, message: String| {
+            Err(ConfigError::Field {
+                licence: name.to_owned(),
+                field: field.to_owned(),
+                message,
+            })
+        };
+        let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+        if name.is_empty() || name.len() > NAME_MOST || !name.chars().all(plain) {
+            let message = "a name has 1 to 64 letters, digits, dots, dashes or underscores";
+            return fail("name", message.into());
+        }
+        if self.seats > SEATS_MOST {
+            return fail("seats", format!("must be {SEATS_MOST} or less"));
+        }
+        if !(0.0..=LINGER_MOST).contains(&self.linger_s) {
+            return fail("linger_s", format!("must be 0 to {LINGER_MOST} seconds"));
+        }
+        let mut kept: u64 = 0;
+        for (team, share) in &self.team {
+            kept += u64::from(share.least);
+            if share.most.is_some_and(|most| most < share.least) {
+                return fail(&format!("team.{team}.most"), "is less than `least`".into());
+            }
+        }
+        if kept > u64::from(self.seats) {
+            let message = format!("teams are kept {kept} seats of {}", self.seats);
+            return fail("team", message);
+        }
+        Ok(Licence {
+            seats: self.seats,
+            linger: Duration::from_secs_f64(self.linger_s),
+            teams: self.team,
+            counter: self.counter,
+        })
+    }
+}
--- a/src/core/relay.rs
+++ b/src/core/relay.rs
@@ -50,6 +50,7 @@
 #[derive(Debug)]
 struct Waiting {
     request: RequestId,
+    machine: MachineId,
     until: Duration,
 }
 
@@ -70,6 +71,8 @@
     held_tasks: usize,
     /// Workers that were sent to the leader or came from it, and when.
     tried: HashMap<MachineId, Duration>,
+    /// When a relayed worker was answered last.
+    answered: HashMap<MachineId, Duration>,
     digest: HashMap<JobId, (u32, u32)>,
     next_digest: Duration,
 }
@@ -81,7 +84,8 @@
 }
 
 const DIGEST_EVERY: Duration = Duration::from_secs(1);
-/// Reports under way to the leader at a time.
+/// Reports under way to the leader at a time, and as many again of workers whose lease
+/// is half over: hundreds may come at once, and those can't wait.
 const RELAYS_MOST: usize = 512;
 /// Reports that are held at a time, and the tasks that all of them list.
 const HELD_MOST: usize = 512;
@@ -112,17 +116,23 @@
             self.hold(request, report);
             return;
         }
-        if !lost_way || self.relays.waiting.len() >= RELAYS_MOST {
+        if lost_way && self.relays_full(&report.machine) {
+            self.answer(request, Answer::Redirect(None));
+            return;
+        }
+        if !lost_way {
             self.relays.tried.insert(report.machine.clone(), now);
             self.answer(request, Answer::Redirect(Some(node)));
             return;
         }
         self.relays.next += 1;
         let relay = self.relays.next;
-        let until = now + Duration::from_secs(1);
-        self.relays
-            .waiting
-            .insert(relay, Waiting { request, until });
+        let waiting = Waiting {
+            request,
+            machine: report.machine.clone(),
+            until: now + Duration::from_secs(1),
+        };
+        self.relays.waiting.insert(relay, waiting);
         self.out.push(Output::Peer {
             to: node,
             message: PeerMessage::Report { relay, report },
@@ -154,6 +164,15 @@
         }
     }
 
+    /// No more reports are relayed, but for those of workers that wait too long.
+    fn relays_full(&self, machine: &MachineId) -> bool {
+        let half = self.config.worker_lease_bound / 2;
+        let answered = self.relays.answered.get(machine);
+        let urgent = answered.is_none_or(|at| self.now() > *at + half);
+        let most = if urgent { RELAYS_MOST * 2 } else { RELAYS_MOST };
+        self.relays.waiting.len() >= most
+    }
+
     /// Another node that leads, and its claim.
     fn other_leader(&self) -> Option<(String, u64)> {
         let (record, version) = self.mirror.leader.as_ref()?;
@@ -218,6 +237,10 @@
             }
             PeerMessage::Reported { relay, answer } => {
                 if let Some(waiting) = self.relays.waiting.remove(&relay) {
+                    if matches!(answer, Some(Answer::Commands { .. })) {
+                        let now = self.now();
+                        self.relays.answered.insert(waiting.machine, now);
+                    }
                     let answer = answer.unwrap_or(Answer::Redirect(None));
                     self.answer(waiting.request, answer);
                 }
@@ -249,6 +272,7 @@
         let keep = self.config.worker_lease_bound * 4;
         if self.relays.tried.len() > 64 {
             self.relays.tried.retain(|_, at| now < *at + keep);
+            self.relays.answered.retain(|_, at| now < *at + keep);
         }
         if now < self.relays.next_digest || !self.leads() {
             return;
--- a/src/io/peer.rs
+++ b/src/io/peer.rs
@@ -18,7 +18,7 @@
 };
 
 /// Lines that wait for one peer.
-const QUEUED_MOST: usize = 256;
+const QUEUED_MOST: usize = 1024;
 const LINE_MOST: u64 = 1 << 20;
 const RETRY: Duration = Duration::from_millis(300);
 const WITHIN: Duration = Duration::from_secs(1);
