--- a/src/core/saves.rs
+++ b/src/core/saves.rs
@@ -9,6 +9,7 @@
     BACK_OFF, Node, Purpose,
     config::Config,
     job::{FinalRecord, JobId, JobState, TaskSet},
+    leader::{Job, Leader},
     roster::Listing,
     store::{
         Change, LEADER, StateReply, StateRequest, delete, final_key, job_key, progress_key, put,
@@ -60,6 +61,37 @@
 /// Results are stored together with those that follow within this time.
 const GATHER: Duration = Duration::from_millis(1500);
 
+/// Results that have waited for so long go before listings.
+const OVERDUE: Duration = Duration::from_secs(6);
+
+/// A write, and what it depends on and changes.
+type Write = (Save, Vec<super::store::Condition>, Vec<Change>);
+
+impl Leader {
+    /// Stores the results of the job whose oldest one came first, if that was before.
+    fn progress_save(&mut self, before: Duration, most: usize) -> Option<Write> {
+        let claim = self.claim;
+        let waits = |job: &Job| !job.saving && !job.complete();
+        let (id, job) = self
+            .jobs
+            .iter_mut()
+            .filter(|(_, job)| waits(job) && job.unsaved_since.is_some_and(|at| at <= before))
+            .min_by_key(|(id, job)| (job.unsaved_since, (*id).clone()))?;
+        job.saving = true;
+        job.unsaved_since = None;
+        let set = job.done.clone();
+        let changes = set
+            .chunks_beyond(&job.saved)
+            .into_iter()
+            .take(most)
+            .map(|chunk| put(progress_key(id, chunk), &set.encode_chunk(chunk)))
+            .collect();
+        let conditions = vec![when(job_key(id), job.version)];
+        let id = id.clone();
+        Some((Save::Progress { claim, id, set }, conditions, changes))
+    }
+}
+
 impl Saves {
     pub fn new(config: &Config) -> Self {
         Self {
@@ -130,10 +162,7 @@
         true
     }
 
-    fn next_save(
-        &mut self,
-        now: Duration,
-    ) -> Option<(Save, Vec<super::store::Condition>, Vec<Change>)> {
+    fn next_save(&mut self, now: Duration) -> Option<Write> {
         let most = self.config.txn_ops;
         let leader = self.leader.as_mut()?;
         let claim = leader.claim;
@@ -174,30 +203,19 @@
             ));
         }
 
+        // Listings come first, but results that wait are lost with their machine, and
+        // until they are stored every report repeats them.
+        if let Some(save) = leader.progress_save(now.saturating_sub(OVERDUE), most) {
+            return Some(save);
+        }
+
         // Starts wait for their job to be listed with their machine.
         if let Some((listings, conditions, changes)) = leader.roster_write(true, most) {
             return Some((Save::Roster { claim, listings }, conditions, changes));
         }
 
-        let unsaved = leader
-            .jobs
-            .iter_mut()
-            .filter(|(_, job)| !job.saving && !job.complete())
-            .filter(|(_, job)| job.unsaved_since.is_some_and(|at| now >= at + GATHER))
-            .min_by_key(|(id, job)| (job.unsaved_since, (*id).clone()));
-        if let Some((id, job)) = unsaved {
-            job.saving = true;
-            job.unsaved_since = None;
-            let set = job.done.clone();
-            let changes = set
-                .chunks_beyond(&job.saved)
-                .into_iter()
-                .take(most)
-                .map(|chunk| put(progress_key(id, chunk), &set.encode_chunk(chunk)))
-                .collect();
-            let conditions = vec![when(job_key(id), job.version)];
-            let id = id.clone();
-            return Some((Save::Progress { claim, id, set }, conditions, changes));
+        if let Some(save) = leader.progress_save(now.saturating_sub(GATHER), most) {
+            return Some(save);
         }
 
         if let Some((listings, conditions, changes)) = leader.roster_write(false, most) {
