Clean-up: one check for ruled-out jobs, one for retries, no count that is not needed

Need: the check against hopeless jobs and the retry time stood twice, machines were counted each round for a rule that seldom asks, and a method was never called. Change: View::rules_out and retry_by serve both places; the count is made only where another node hears machines. Behaviour as before.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -125,12 +125,10 @@
         if now >= self.fleet.next_plan {
             self.fleet.next_plan = now + Duration::from_millis(500);
             self.value_images();
+            // One that hears nobody can't tell what is needed.
             if !self.outlook.doubts {
                 self.plan_returns(now);
                 self.plan_drain(now);
-            }
-            // One that hears nobody can't tell what is needed.
-            if !self.outlook.doubts {
                 self.plan_rentals(now);
             }
         }
--- a/src/core/flow.rs
+++ b/src/core/flow.rs
@@ -115,14 +115,9 @@
         }
         let starts = self.flow.lately(now);
         let mut sum = 0;
-        let mut held = None;
-        for priority in Priority::ALL.into_iter().rev() {
-            sum += late[priority as usize];
-            if sum > starts {
-                held = Some(priority);
-                break;
-            }
-        }
-        held
+        Priority::ALL.into_iter().rev().find(|priority| {
+            sum += late[*priority as usize];
+            sum > starts
+        })
     }
 }
--- a/src/core/members/accrual.rs
+++ b/src/core/members/accrual.rs
@@ -70,10 +70,6 @@
         self.last = self.last.map(|_| now);
     }
 
-    pub fn last(&self) -> Option<Duration> {
-        self.last
-    }
-
     pub fn silence(&self, now: Duration) -> Option<Duration> {
         self.last.map(|last| now.saturating_sub(last))
     }
--- a/src/core/pulse.rs
+++ b/src/core/pulse.rs
@@ -195,12 +195,13 @@
             return;
         }
         let best = self.members.nodes.best(now);
-        let hears: u32 = self.members.sight.hears().values().sum();
         let settled = self.members.led_for(now) > turning(self.config.report);
+        // Looked up only where another node hears any: that looks at every machine.
+        let hears = || self.members.sight.hears().values().sum::<u32>();
         let better = settled
             && best
                 .as_ref()
-                .is_some_and(|(_, machines)| *machines >= 3 && *machines > 2 * hears);
+                .is_some_and(|(_, machines)| *machines >= 3 && *machines > 2 * hears());
         if blind || better {
             self.hand_over(best.map(|(node, _)| node));
         }
--- a/src/core/sched.rs
+++ b/src/core/sched.rs
@@ -11,7 +11,7 @@
 
 use super::{
     job::{JobId, JobSpec, Kind, Priority, Resources, TaskId},
-    leader::{Leader, Slot},
+    leader::{Job, Leader, Slot},
     machine::{Machine, MachineId, Placement, Standing},
 };
 
@@ -127,6 +127,14 @@
     pub(super) zones: BTreeMap<Arc<str>, u32>,
 }
 
+impl View {
+    /// Another job like it found no room. A nominated one may have room that is held
+    /// for itself alone.
+    fn rules_out(&self, job: &Job) -> bool {
+        job.nominations.is_empty() && self.hopeless.iter().any(|h| h.covers(&job.spec))
+    }
+}
+
 /// Victims on one machine.
 struct Plan {
     room: usize,
@@ -195,15 +203,20 @@
             return false;
         };
         if job.retry_at > now {
-            let next = self.next_retry.unwrap_or(Duration::MAX);
-            self.next_retry = Some(next.min(job.retry_at));
+            let at = job.retry_at;
+            self.retry_by(at);
             return true;
         }
         let spec = &job.spec;
         self.held(id, job)
             || self.shut.is_some_and(|shut| spec.priority <= shut)
-            // A nominated job may have room that is held for itself alone.
-            || (job.nominations.is_empty() && view.hopeless.iter().any(|h| h.covers(spec)))
+            || view.rules_out(job)
+    }
+
+    /// The parked are tried again by then at the latest.
+    fn retry_by(&mut self, at: Duration) {
+        let next = self.next_retry.unwrap_or(Duration::MAX);
+        self.next_retry = Some(next.min(at));
     }
 
     /// Places all of a job that has room anywhere, or makes room for it.
@@ -212,8 +225,7 @@
             return;
         };
         let spec = job.spec.clone();
-        let hopeless = view.hopeless.iter().any(|h| h.covers(&spec));
-        if job.nominations.is_empty() && hopeless {
+        if view.rules_out(job) {
             self.queue.park(id);
             return;
         }
@@ -225,8 +237,7 @@
         if !all {
             // Seats may come back without anything else happening.
             if !spec.licences.is_empty() {
-                let next = self.next_retry.unwrap_or(Duration::MAX);
-                self.next_retry = Some(next.min(now + SEATS_AGAIN));
+                self.retry_by(now + SEATS_AGAIN);
             }
             self.queue.park(id);
         }
