--- a/src/core/saves.rs
+++ b/src/core/saves.rs
@@ -61,9 +61,6 @@
 /// Results are stored together with those that follow within this time.
 const GATHER: Duration = Duration::from_millis(1500);
 
-/// Results that have waited for so long go before listings.
-const OVERDUE: Duration = Duration::from_secs(6);
-
 /// A write, and what it depends on and changes.
 type Write = (Save, Vec<super::store::Condition>, Vec<Change>);
 
@@ -203,12 +200,6 @@
             ));
         }
 
-        // Listings come first, but results that wait are lost with their machine, and
-        // until they are stored every report repeats them.
-        if let Some(save) = leader.progress_save(now.saturating_sub(OVERDUE), most) {
-            return Some(save);
-        }
-
         // Starts wait for their job to be listed with their machine.
         if let Some((listings, conditions, changes)) = leader.roster_write(true, most) {
             return Some((Save::Roster { claim, listings }, conditions, changes));
