--- a/crates/licences/src/config.rs
+++ b/crates/licences/src/config.rs
@@ -38,6 +38,17 @@
     pub most: Option<u32>,
 }
 
+impl Licence {
+    /// Seats that a team could have if nobody else had any.
+    pub fn most_for(&self, team: &str) -> u32 {
+        let others = self.teams.iter().filter(|(other, _)| *other != team);
+        let kept: u32 = others.map(|(_, share)| share.least).sum();
+        let most = self.teams.get(team).and_then(|share| share.most);
+        most.unwrap_or(u32::MAX)
+            .min(self.seats.saturating_sub(kept))
+    }
+}
+
 /// All licences by name.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Config {
--- a/crates/licences/src/ledger.rs
+++ b/crates/licences/src/ledger.rs
@@ -35,6 +35,8 @@
         attempt: Attempt,
         needs: Needs,
     },
+    /// All that holds seats now, as it is known otherwise: who is not named is gone.
+    Holding(BTreeMap<Attempt, (String, Needs)>),
     /// A silent machine may hold as much; what was told of it before is replaced.
     MayHold { machine: String, needs: Needs },
     /// Nothing of a former leader is left there.
@@ -94,6 +96,8 @@
     /// Seats that people use outside kiteyard.
     elsewhere: BTreeMap<String, u32>,
     refusals: BTreeMap<String, Refusals>,
+    /// When the ledger began: what went before may linger still.
+    began: Option<Duration>,
     /// Licences that somebody asked for in vain.
     wanted: BTreeSet<String>,
 }
@@ -126,6 +130,19 @@
         }
     }
 
+    /// A ledger that takes the place of another one, of which it knows only what still
+    /// holds seats.
+    pub fn after_take_over(config: Config, now: Duration) -> Self {
+        Self {
+            began: Some(now),
+            ..Self::new(config)
+        }
+    }
+
+    pub fn licences(&self) -> impl Iterator<Item = &str> {
+        self.config.licences.keys().map(String::as_str)
+    }
+
     pub fn step(&mut self, now: Duration, input: Input) -> Vec<Output> {
         let mut out = self.expire(now);
         match input {
@@ -147,6 +164,22 @@
                 };
                 self.holders.insert(attempt, holder);
             }
+            Input::Holding(held) => {
+                let lasting = self.holders.iter().filter(|(_, h)| h.until.is_none());
+                let gone: Vec<Attempt> = lasting
+                    .map(|(attempt, _)| attempt)
+                    .filter(|attempt| !held.contains_key(*attempt))
+                    .cloned()
+                    .collect();
+                for (attempt, (team, needs)) in held {
+                    let until = None;
+                    let holder = Holder { team, needs, until };
+                    self.holders.insert(attempt, holder);
+                }
+                for attempt in gone {
+                    self.gone(now, &attempt, &mut out);
+                }
+            }
             Input::MayHold { machine, needs } => {
                 self.maybe.insert(machine, needs);
             }
@@ -294,7 +327,8 @@
     pub fn free_for(&self, licence: &str, team: &str, now: Duration) -> Option<u32> {
         let known: &Licence = self.config.licences.get(licence)?;
         let waits = self.refusals.get(licence).is_some_and(|r| now < r.until);
-        if waits {
+        let lingers = self.began.is_some_and(|began| now < began + known.linger);
+        if waits || lingers {
             return Some(0);
         }
         let held = self.by_team(licence);
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,6 +1,6 @@
 //! Command-line flags and variables of the program.
 
-use std::path::PathBuf;
+use std::{path::PathBuf, sync::Arc};
 
 use clap::Parser;
 
@@ -14,7 +14,11 @@
     #[arg(long, value_name = "FILE")]
     pub config: PathBuf,
 
-    /// Check the settings file and exit
+    /// Licences with counted seats (TOML); without it, submissions' `licences` are ignored
+    #[arg(long, value_name = "FILE")]
+    pub licences: Option<PathBuf>,
+
+    /// Check the settings file, and the licences, and exit
     #[arg(long)]
     pub check: bool,
 
@@ -55,8 +59,21 @@
 }
 
 impl Cli {
+    /// The licences, or what is wrong with their file.
+    pub fn licences(&self) -> Result<Option<Arc<kiteyard_licences::config::Config>>, String> {
+        let Some(path) = &self.licences else {
+            return Ok(None);
+        };
+        let text = std::fs::read_to_string(path)
+            .map_err(|error| format!("cannot read licences {}: {error}", path.display()))?;
+        let config = kiteyard_licences::config::Config::parse(&text)
+            .map_err(|error| format!("{}: {error}", path.display()))?;
+        Ok(Some(Arc::new(config)))
+    }
+
     pub fn options(&self) -> Options {
         Options {
+            licences: None,
             idle_boots: self.idle_boots,
             grace: settings::seconds(self.grace_s),
             disruption_budget: self.disruption_budget,
--- a/src/core/config.rs
+++ b/src/core/config.rs
@@ -22,6 +22,8 @@
     pub idle_boots: f64,
     pub grace: Duration,
     pub disruption_budget: u32,
+    /// Licences with counted seats, if there are any.
+    pub licences: Option<Arc<kiteyard_licences::config::Config>>,
 }
 
 impl Default for Options {
@@ -30,6 +32,7 @@
             idle_boots: 2.0,
             grace: Duration::from_secs(10),
             disruption_budget: 1,
+            licences: None,
         }
     }
 }
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -485,7 +485,9 @@
                 let wanted = over / (spec.need.cpus.max(0.01) * horizon);
                 tasks = waiting.min(wanted.ceil() as u32);
             }
-            // A machine for what the team may not run would stand idle.
+            // A machine for what the team may not run, or has no seats for, would stand
+            // idle.
+            tasks = tasks.min(self.seats_for(spec, now));
             if let Some(left) = left.get_mut(&spec.team) {
                 tasks = tasks.min(spec.need.times_in(left));
                 *left = left.plus_times(&spec.need, -f64::from(tasks));
--- a/src/core/front.rs
+++ b/src/core/front.rs
@@ -95,6 +95,16 @@
             Kind::Array => 1,
             Kind::Gang | Kind::Service => spec.tasks,
         };
+        let licences = self.config.options.licences.as_deref();
+        for (name, seats) in &spec.licences {
+            let Some(licence) = licences.and_then(|l| l.licences.get(name)) else {
+                return Some(format!("unknown licence {name}"));
+            };
+            let wanted = u64::from(*seats) * u64::from(at_once);
+            if wanted > u64::from(licence.most_for(&spec.team)) {
+                return Some(format!("more seats of {name} than the team can have"));
+            }
+        }
         let sum = Resources::default().plus_times(&spec.need, f64::from(at_once));
         let over = |limit: f64, value: f64| limit > 0.0 && value > limit + 1e-6;
         (over(team.cpus_max, sum.cpus) || over(team.gpus_max, sum.gpus))
--- a/src/core/job.rs
+++ b/src/core/job.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cmp::Ordering,
+    collections::BTreeMap,
     fmt,
     hash::{Hash, Hasher},
     sync::Arc,
@@ -219,6 +220,9 @@
     pub checkpoint_s: f64,
     pub save_s: f64,
     pub deadline_s: Option<f64>,
+    /// Seats that each task takes, by licence.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub licences: BTreeMap<String, u32>,
 }
 
 impl JobSpec {
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -148,6 +148,8 @@
     /// How far run times of a class are from their estimates, as a logarithm.
     pub seen: HashMap<Arc<str>, f64>,
     pub roster: Roster,
+    /// Counted licences, if there are any.
+    pub seats: Option<kiteyard_licences::ledger::Ledger>,
     /// What the silence of machines means, and the zones where somebody is to be asked.
     pub outlook: Outlook,
     pub(super) ask: BTreeSet<Arc<str>>,
@@ -225,6 +227,7 @@
             wall_ms: 0,
             seen: HashMap::new(),
             roster: Roster::new(config.value_most),
+            seats: None,
             outlook: Outlook::default(),
             ask: BTreeSet::new(),
             parted: Vec::new(),
@@ -235,6 +238,7 @@
             types,
             config,
         };
+        leader.seats = leader.new_ledger(now);
         for (shard, record, version) in roster {
             leader.enroll(shard, &record, version, now);
         }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -24,6 +24,7 @@
 pub mod roster;
 pub mod saves;
 pub mod sched;
+pub mod seats;
 pub mod silent;
 pub mod store;
 
@@ -45,6 +46,7 @@
 use members::{Members, sight::Way};
 use mirror::{Mirror, Noticed};
 use relay::{PeerMessage, Relays};
+use seats::LicenceView;
 use store::{LIVE, StateReply, StateRequest};
 
 /// Time as a step sees it.
@@ -78,6 +80,9 @@
     Ready {
         request: RequestId,
     },
+    Licences {
+        request: RequestId,
+    },
     Report {
         request: RequestId,
         report: WorkerReport,
@@ -175,6 +180,8 @@
         retry: Duration,
     },
     Ready(bool),
+    /// How licences stand, and how old that is where this node does not lead.
+    Licences(Vec<LicenceView>, Option<Duration>),
     Commands {
         token: u64,
         commands: Vec<Command>,
@@ -311,6 +318,7 @@
                 let ready = self.mirror.loaded && self.mirror.types.is_some() && !self.left_alone();
                 self.answer(request, Answer::Ready(ready));
             }
+            Input::Licences { request } => self.licences(request),
             Input::Report { request, report } => self.report(request, report),
             Input::State { call, reply } => {
                 if let Some(purpose) = self.calls.remove(&call) {
--- a/src/core/relay.rs
+++ b/src/core/relay.rs
@@ -14,6 +14,7 @@
     job::JobId,
     machine::{MachineId, WorkerReport},
     members::{nodes::Pulse, sight::Way},
+    seats::LicenceView,
 };
 
 /// One line between two nodes.
@@ -41,9 +42,11 @@
     },
     /// What the next leader should not have to learn again.
     Hints(Hints),
-    /// Done and running tasks of active jobs.
+    /// Done and running tasks of active jobs, and how licences stand.
     Digest {
         jobs: Vec<(JobId, u32, u32)>,
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        licences: Vec<LicenceView>,
     },
 }
 
@@ -74,6 +77,8 @@
     /// When a relayed worker was answered last.
     answered: HashMap<MachineId, Duration>,
     digest: HashMap<JobId, (u32, u32)>,
+    /// How licences stand, as the leader told, and when.
+    licences: (Vec<LicenceView>, Duration),
     next_digest: Duration,
 }
 
@@ -173,6 +178,24 @@
         self.relays.waiting.len() >= most
     }
 
+    /// How licences stand: proven where this node leads, else as the leader told.
+    pub(super) fn licences(&mut self, request: RequestId) {
+        if self.config.options.licences.is_none() {
+            self.answer(request, Answer::Licences(Vec::new(), None));
+            return;
+        }
+        let told = &self.relays.licences;
+        let age = self.now().saturating_sub(told.1);
+        let answer = match (&self.leader, self.leads()) {
+            (Some(leader), true) => Answer::Licences(leader.licence_view(), None),
+            _ if told.0.is_empty() => Answer::Later {
+                retry: DIGEST_EVERY,
+            },
+            _ => Answer::Licences(told.0.clone(), Some(age)),
+        };
+        self.answer(request, answer);
+    }
+
     /// Another node that leads, and its claim.
     fn other_leader(&self) -> Option<(String, u64)> {
         let (record, version) = self.mirror.leader.as_ref()?;
@@ -249,7 +272,8 @@
             PeerMessage::Resign { claim } => self.resign(from, claim),
             PeerMessage::Resigned { claim } => self.resigned(claim),
             PeerMessage::Hints(hints) => self.hints_told(hints),
-            PeerMessage::Digest { jobs } => {
+            PeerMessage::Digest { jobs, licences } => {
+                self.relays.licences = (licences, self.now());
                 self.relays.digest = jobs
                     .into_iter()
                     .map(|(id, done, running)| (id, (done, running)))
@@ -285,11 +309,12 @@
             .filter(|(_, job)| job.running > 0 || job.done_count > 0)
             .map(|(id, job)| (id.clone(), job.done_count, job.running))
             .collect();
+        let licences = leader.licence_view();
         for to in self.config.peers.clone() {
-            let jobs = jobs.clone();
+            let (jobs, licences) = (jobs.clone(), licences.clone());
             self.out.push(Output::Peer {
                 to,
-                message: PeerMessage::Digest { jobs },
+                message: PeerMessage::Digest { jobs, licences },
             });
         }
     }
--- a/src/core/sched.rs
+++ b/src/core/sched.rs
@@ -18,6 +18,9 @@
 /// The least time between two passes.
 pub const PASS_EVERY: Duration = Duration::from_millis(60);
 
+/// How soon a job that waits for a seat is tried again.
+const SEATS_AGAIN: Duration = Duration::from_secs(1);
+
 /// A machine as one pass sees it. A pass looks at every room for most jobs, so
 /// what rules a room out is kept at hand: most are ruled out by numbers alone.
 struct Room {
@@ -159,6 +162,7 @@
         self.next_pass = now + PASS_EVERY;
         let places = self.order();
         self.queue.rank(&places);
+        self.count_seats(now);
         let mut view = self.view(now);
         self.shut = self.held_up(now);
         // Arrays that were given what has their image, in their order.
@@ -219,6 +223,11 @@
             _ => self.place_tasks(view, &id, &spec, now),
         };
         if !all {
+            // Seats may come back without anything else happening.
+            if !spec.licences.is_empty() {
+                let next = self.next_retry.unwrap_or(Duration::MAX);
+                self.next_retry = Some(next.min(now + SEATS_AGAIN));
+            }
             self.queue.park(id);
         }
     }
@@ -348,7 +357,7 @@
                 let Some(index) = self.jobs.get_mut(id).and_then(|j| j.next_waiting()) else {
                     return;
                 };
-                if self.over_limit(view, spec, 1) {
+                if self.over_limit(view, spec, 1, now) {
                     return;
                 }
                 let attempt = self.next_attempt();
@@ -373,7 +382,7 @@
             self.fill_rooms(view, id, spec, false, now);
         }
         while let Some(index) = self.jobs.get_mut(id).and_then(|j| j.next_waiting()) {
-            if self.over_limit(view, spec, 1) || self.jobs[id].tries_enough() {
+            if self.over_limit(view, spec, 1, now) || self.jobs[id].tries_enough() {
                 return false;
             }
             let task = TaskId {
@@ -403,6 +412,8 @@
     ) {
         let id = task.job.clone();
         let held = self.jobs[&id].nominations.len();
+        let spec = self.jobs[&id].spec.clone();
+        self.take_seats(&spec, &task, attempt, now);
         self.place(machine, task, attempt, now);
         let job = &self.jobs[&id];
         let spec = &job.spec;
@@ -431,7 +442,10 @@
         }
     }
 
-    fn over_limit(&self, view: &View, spec: &JobSpec, tasks: u32) -> bool {
+    fn over_limit(&self, view: &View, spec: &JobSpec, tasks: u32, now: Duration) -> bool {
+        if self.seats_for(spec, now) < tasks {
+            return true;
+        }
         let Some(team) = self.config.teams.get(&spec.team) else {
             return true;
         };
@@ -537,7 +551,7 @@
         let waiting = self.jobs[id].waiting_count() as usize;
         while self.jobs[id].nominations.len() < waiting {
             let nominated = self.jobs[id].nominations.len() as u32;
-            if self.over_limit(view, spec, nominated + 1) {
+            if self.over_limit(view, spec, nominated + 1, now) {
                 break;
             }
             let Some(plan) = self.best_plan(view, spec) else {
@@ -780,7 +794,7 @@
         spec: &Arc<JobSpec>,
         now: Duration,
     ) -> bool {
-        if self.jobs[id].placed > 0 || self.over_limit(view, spec, spec.tasks) {
+        if self.jobs[id].placed > 0 || self.over_limit(view, spec, spec.tasks, now) {
             return false;
         }
         let lingering = self.machines.values().any(|m| {
--- a/src/io/mod.rs
+++ b/src/io/mod.rs
@@ -36,6 +36,7 @@
 /// Serves until the process is ended.
 pub async fn serve(settings: Settings, options: Options) -> std::io::Result<()> {
     let (calls, mut incoming) = mpsc::channel::<Call>(1024);
+    let licensed = options.licences.is_some();
     let config = Config::new(&settings, options);
     let listener = server::bind(settings.listen)?;
     let peer_listener = server::bind(settings.peer_listen)?;
@@ -44,7 +45,7 @@
         .run_until(async move {
             let listener = tokio::net::TcpListener::from_std(listener)?;
             let peer_listener = tokio::net::TcpListener::from_std(peer_listener)?;
-            tokio::task::spawn_local(server::serve(listener, calls));
+            tokio::task::spawn_local(server::serve(listener, calls, licensed));
             let (results, mut replies) = mpsc::unbounded_channel::<Input>();
             let peers = settings.peers.len();
             tokio::task::spawn_local(peer::listen(peer_listener, peers * 4, results.clone()));
--- a/src/io/server.rs
+++ b/src/io/server.rs
@@ -37,16 +37,20 @@
 struct Api {
     calls: mpsc::Sender<Call>,
     in_work: Arc<Semaphore>,
+    /// Licences are counted here.
+    licensed: bool,
 }
 
 pub async fn serve(
     listener: tokio::net::TcpListener,
     calls: mpsc::Sender<Call>,
+    licensed: bool,
 ) -> std::io::Result<()> {
     let acceptor = TcpAcceptor::from_tokio(listener)?;
     let api = Api {
         calls,
         in_work: Arc::new(Semaphore::new(IN_WORK_MOST)),
+        licensed,
     };
     Server::new_with_acceptor(acceptor)
         .idle_timeout(IDLE_CONNECTION)
@@ -63,6 +67,7 @@
         .at("/work", post(on(Handle::Submit)))
         .at("/work/:id", get(on(Handle::Status)))
         .at("/work/:id/withdraw", post(on(Handle::Withdraw)))
+        .at("/licences", get(on(Handle::Licences)))
         .at("/ready", get(on(Handle::Ready)))
         .at("/checkin", post(on(Handle::Report)))
         .catch_all_error(|error| async move {
@@ -77,6 +82,7 @@
     Withdraw,
     Ready,
     Report,
+    Licences,
 }
 
 struct Served {
@@ -103,6 +109,7 @@
                     .await
             }
             Handle::Ready => self.api.ask(|request| Input::Ready { request }).await,
+            Handle::Licences => self.api.ask(|request| Input::Licences { request }).await,
         })
     }
 }
@@ -113,7 +120,7 @@
             Ok(body) => body,
             Err(response) => return response,
         };
-        match wire::user::parse_submission(&body) {
+        match wire::user::parse_submission(&body, self.api.licensed) {
             Ok(spec) => {
                 let spec = Arc::new(spec);
                 self.api
@@ -226,6 +233,9 @@
             StatusCode::UNPROCESSABLE_ENTITY,
             wire::user::error_answer(&reason),
         ),
+        Answer::Licences(view, age) => {
+            text(StatusCode::OK, wire::user::licences_answer(&view, age))
+        }
         Answer::Later { retry } => later(retry),
         Answer::Ready(true) => text(StatusCode::OK, "{}".into()),
         Answer::Ready(false) => later(Duration::from_secs(1)),
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,7 +1,7 @@
 use std::process::ExitCode;
 
 use clap::Parser;
-use kiteyard::{cli::Cli, io, settings::Settings};
+use kiteyard::{cli::Cli, core::config::Options, io, settings::Settings};
 use tracing::Level;
 use tracing_subscriber::{filter::Targets, layer::SubscriberExt, util::SubscriberInitExt};
 
@@ -35,6 +35,7 @@
 
 fn run(cli: &Cli) -> Result<(), Box<dyn std::error::Error>> {
     let settings = Settings::load(&cli.config)?;
+    let licences = cli.licences()?;
     if cli.check {
         return Ok(());
     }
@@ -54,6 +55,10 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    runtime.block_on(io::serve(settings, cli.options()))?;
+    let options = Options {
+        licences,
+        ..cli.options()
+    };
+    runtime.block_on(io::serve(settings, options))?;
     Ok(())
 }
--- a/src/wire/user.rs
+++ b/src/wire/user.rs
@@ -1,10 +1,13 @@
 //! What users send and receive.
 
-use std::sync::Arc;
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
-use crate::core::job::{JobId, JobSpec, JobState, Kind, Priority, Resources};
+use crate::core::{
+    job::{JobId, JobSpec, JobState, Kind, Priority, Resources},
+    seats::LicenceView,
+};
 
 #[derive(Debug, Deserialize)]
 struct Submission {
@@ -31,6 +34,8 @@
     reel_s: f64,
     #[serde(default)]
     landby_s: Option<f64>,
+    #[serde(default)]
+    licences: Option<serde_json::Value>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -50,8 +55,25 @@
     BestEffort,
 }
 
-/// A job as its user asked for it, or what is wrong with the request.
-pub fn parse_submission(body: &[u8]) -> Result<JobSpec, String> {
+/// Seats by licence, each a whole number above zero.
+fn parse_licences(value: serde_json::Value) -> Result<BTreeMap<String, u32>, String> {
+    let serde_json::Value::Object(entries) = value else {
+        return Err("licences: not an object".into());
+    };
+    let mut licences = BTreeMap::new();
+    for (name, seats) in entries {
+        let seats = seats.as_u64().and_then(|n| u32::try_from(n).ok());
+        let Some(seats) = seats.filter(|n| *n > 0) else {
+            return Err(format!("licences.{name}: not a whole number above zero"));
+        };
+        licences.insert(name, seats);
+    }
+    Ok(licences)
+}
+
+/// A job as its user asked for it, or what is wrong with the request. Licences are
+/// ignored where none are counted.
+pub fn parse_submission(body: &[u8], licensed: bool) -> Result<JobSpec, String> {
     let s: Submission = serde_json::from_slice(body).map_err(|e| e.to_string())?;
     let id = JobId::parse(&s.uid).ok_or("uid: not a job id")?;
     if !(1..=100_000).contains(&s.strings) {
@@ -71,6 +93,10 @@
             return Err(format!("{field}: out of range"));
         }
     }
+    let licences = match s.licences {
+        Some(value) if licensed && !value.is_null() => parse_licences(value)?,
+        _ => BTreeMap::new(),
+    };
     let names = [("flight", &s.flight), ("crew", &s.crew), ("sail", &s.sail)];
     for (field, text) in names {
         if text.is_empty() || text.len() > 200 {
@@ -109,6 +135,7 @@
         checkpoint_s: s.tether_s,
         save_s: s.reel_s,
         deadline_s: s.landby_s,
+        licences,
     })
 }
 
@@ -142,6 +169,17 @@
     serde_json::to_string(&answer).unwrap_or_default()
 }
 
+/// How each licence stands. `fresh` is told by the leader within its term; what another
+/// node tells is as old as it says.
+pub fn licences_answer(view: &[LicenceView], age: Option<Duration>) -> String {
+    let answer = serde_json::json!({
+        "licences": view,
+        "fresh": age.is_none(),
+        "age_ms": age.unwrap_or_default().as_millis() as u64,
+    });
+    answer.to_string()
+}
+
 pub fn error_answer(message: &str) -> String {
     serde_json::json!({ "error": message }).to_string()
 }
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -228,6 +228,7 @@
         checkpoint_s: 0.0,
         save_s: 0.0,
         deadline_s: None,
+        licences: BTreeMap::new(),
     }
 }
 
