--- /dev/null
+++ b/crates/ctl/src/client.rs
@@ -0,0 +1,110 @@
+//! Requests over HTTP/1.1, each to the nodes in turn.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http::{Method, Request, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::{
+    client::legacy::{Client as HttpClient, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use serde_json::Value;
+
+use crate::ask::{Ask, Next, Tried};
+
+/// A node answers within this time, or is taken not to have.
+const ANSWER: Duration = Duration::from_secs(5);
+const BODY_MOST: usize = 1 << 20;
+
+pub struct Client {
+    http: HttpClient<HttpConnector, Full<Bytes>>,
+    nodes: Vec<SocketAddr>,
+    within: Duration,
+}
+
+/// A final answer.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Answer {
+    pub status: u16,
+    pub body: Value,
+}
+
+impl Answer {
+    /// The job's state in the words of this program.
+    pub fn state(&self) -> &str {
+        self.body["attitude"].as_str().unwrap_or("unknown")
+    }
+
+    pub fn error(&self) -> &str {
+        self.body["error"].as_str().unwrap_or("no reason given")
+    }
+}
+
+impl Client {
+    pub fn new(nodes: Vec<SocketAddr>, within: Duration) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(Duration::from_secs(1)));
+        Self {
+            http: HttpClient::builder(TokioExecutor::new()).build(connector),
+            nodes,
+            within,
+        }
+    }
+
+    /// None where no node gave a final answer in time.
+    pub async fn ask(&self, method: Method, path: &str, body: Option<&Value>) -> Option<Answer> {
+        let first = Instant::now();
+        let mut ask = Ask::new(self.nodes.len(), self.within);
+        let mut node = ask.node();
+        loop {
+            let tried = self.once(node, &method, path, body).await;
+            let outcome = match &tried {
+                Some((status, retry, _)) => Tried::Status(*status, *retry),
+                None => Tried::Nothing,
+            };
+            match ask.step(first.elapsed(), outcome) {
+                Next::Final(status) => {
+                    let body = tried.map(|(_, _, body)| body).unwrap_or_default();
+                    return Some(Answer { status, body });
+                }
+                Next::Again { node: next, after } => {
+                    tokio::time::sleep(after).await;
+                    node = next;
+                }
+                Next::GiveUp => return None,
+            }
+        }
+    }
+
+    async fn once(
+        &self,
+        node: usize,
+        method: &Method,
+        path: &str,
+        body: Option<&Value>,
+    ) -> Option<(u16, Option<Duration>, Value)> {
+        let text = body.map(Value::to_string).unwrap_or_default();
+        let request = Request::builder()
+            .method(method.clone())
+            .uri(format!("http://{}{path}", self.nodes.get(node)?))
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(Bytes::from(text)))
+            .ok()?;
+        let answer = async {
+            let response = self.http.request(request).await.ok()?;
+            let status = response.status().as_u16();
+            let retry = response.headers().get(header::RETRY_AFTER);
+            let retry = retry.and_then(|value| value.to_str().ok()?.parse::<f64>().ok());
+            let retry = retry.and_then(|s| Duration::try_from_secs_f64(s).ok());
+            let body = Limited::new(response.into_body(), BODY_MOST);
+            let bytes = body.collect().await.ok()?.to_bytes();
+            let body = serde_json::from_slice(&bytes).unwrap_or(Value::Null);
+            Some((status, retry, body))
+        };
+        tokio::time::timeout(ANSWER, answer).await.ok()?
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,5 @@
+//! The client program's parts: what to ask, when to ask again, and what a job file says.
+
+pub mod ask;
+pub mod client;
+pub mod job;
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,285 @@
+//! `kiteyardctl`: submits jobs, follows them and cancels them.
+
+use std::{
+    collections::BTreeMap, io::IsTerminal, net::SocketAddr, path::PathBuf, process::ExitCode,
+    time::Duration,
+};
+
+use clap::{Args, CommandFactory, Parser, Subcommand};
+use clap_complete::Shell;
+use http::Method;
+use indicatif::{ProgressBar, ProgressStyle};
+use kiteyard_ctl::{
+    client::{Answer, Client},
+    job::Job,
+};
+use serde_json::{Value, json};
+
+/// Submits jobs to kiteyard, follows them and cancels them
+///
+/// Exit codes: 0 done as asked, 1 no node answered in time, 2 a wrong flag or file, 3 refused
+/// or not found, 4 the job was cancelled while it was waited for.
+#[derive(Debug, Parser)]
+#[command(name = "kiteyardctl", version)]
+struct Cli {
+    /// A node's address; may be given several times
+    #[arg(
+        long = "node",
+        env = "KITEYARD_NODES",
+        value_delimiter = ',',
+        global = true,
+        value_name = "ADDR"
+    )]
+    nodes: Vec<SocketAddr>,
+
+    /// Print JSON, one object a line
+    #[arg(long, global = true)]
+    json: bool,
+
+    /// Seconds for which a request is tried again
+    #[arg(long, default_value_t = 60.0, global = true, value_name = "SECONDS", value_parser = seconds)]
+    within_s: f64,
+
+    #[command(subcommand)]
+    command: Command,
+}
+
+fn seconds(text: &str) -> Result<f64, String> {
+    match text.parse::<f64>() {
+        Ok(value) if (0.0..=86_400.0).contains(&value) => Ok(value),
+        _ => Err("expected seconds between 0 and 86400".into()),
+    }
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Submit the job that a TOML file describes
+    Submit(Submit),
+    /// Show a job's state
+    Status { job: String },
+    /// Wait until a job is done or cancelled
+    Wait { job: String },
+    /// Cancel a job
+    Cancel { job: String },
+    /// Show licences: seats, in use, waiting, by team
+    Licences,
+    /// Print a completion script for a shell
+    Completions { shell: Shell },
+}
+
+#[derive(Debug, Args)]
+struct Submit {
+    /// The job file
+    file: PathBuf,
+    /// Another id than the file's
+    #[arg(long)]
+    id: Option<String>,
+    /// Another number of tasks
+    #[arg(long)]
+    tasks: Option<u32>,
+    /// Seats for each task, as NAME=SEATS; may be given several times
+    #[arg(long = "licence", value_name = "NAME=SEATS", value_parser = seats)]
+    licences: Vec<(String, u32)>,
+    /// Wait until it is done
+    #[arg(long)]
+    wait: bool,
+}
+
+fn seats(text: &str) -> Result<(String, u32), String> {
+    let pair = text.split_once('=');
+    let seats = pair.and_then(|(name, seats)| Some((name.to_owned(), seats.parse().ok()?)));
+    seats.ok_or_else(|| "expected NAME=SEATS".into())
+}
+
+const UNANSWERED: u8 = 1;
+const WRONG: u8 = 2;
+const REFUSED: u8 = 3;
+const CANCELLED: u8 = 4;
+/// How often a job that is waited for is asked about.
+const POLL: Duration = Duration::from_secs(2);
+
+fn main() -> ExitCode {
+    let cli = match Cli::try_parse() {
+        Ok(cli) => cli,
+        Err(error) if error.use_stderr() => {
+            let text = error.to_string();
+            let what = text.split("\n\n").next().unwrap_or_default();
+            let words: Vec<&str> = what.split_whitespace().collect();
+            return fail(WRONG, words.join(" ").trim_start_matches("error: "));
+        }
+        Err(help) => {
+            print!("{help}");
+            return ExitCode::SUCCESS;
+        }
+    };
+    if let Command::Completions { shell } = cli.command {
+        let name = "kiteyardctl";
+        clap_complete::generate(shell, &mut Cli::command(), name, &mut std::io::stdout());
+        return ExitCode::SUCCESS;
+    }
+    if cli.nodes.is_empty() {
+        return fail(WRONG, "no node: give --node ADDR or set KITEYARD_NODES");
+    }
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    match runtime {
+        Ok(runtime) => runtime.block_on(run(&cli)),
+        Err(error) => fail(UNANSWERED, &error.to_string()),
+    }
+}
+
+fn fail(code: u8, message: &str) -> ExitCode {
+    eprintln!("kiteyardctl: {message}");
+    ExitCode::from(code)
+}
+
+async fn run(cli: &Cli) -> ExitCode {
+    let client = Client::new(cli.nodes.clone(), Duration::from_secs_f64(cli.within_s));
+    match &cli.command {
+        Command::Submit(submit) => submit_job(cli, &client, submit).await,
+        Command::Status { job } => {
+            let answer = client.ask(Method::GET, &format!("/work/{job}"), None).await;
+            tell(cli, job, answer)
+        }
+        Command::Cancel { job } => {
+            let path = format!("/work/{job}/withdraw");
+            tell(cli, job, client.ask(Method::POST, &path, None).await)
+        }
+        Command::Wait { job } => wait(cli, &client, job).await,
+        Command::Licences => licences(cli, &client).await,
+        Command::Completions { .. } => ExitCode::SUCCESS,
+    }
+}
+
+async fn submit_job(cli: &Cli, client: &Client, submit: &Submit) -> ExitCode {
+    let mut job = match Job::load(&submit.file) {
+        Ok(job) => job,
+        Err(error) => return fail(WRONG, &error.to_string()),
+    };
+    job.id = submit.id.clone().unwrap_or(job.id);
+    job.tasks = submit.tasks.unwrap_or(job.tasks);
+    job.licences
+        .extend(submit.licences.iter().cloned().collect::<BTreeMap<_, _>>());
+    if let Err(error) = job.check() {
+        return fail(WRONG, &error.to_string());
+    }
+    let body = job.submission();
+    // Repeated with the same id, it is one job however often it is sent.
+    let answer = client.ask(Method::POST, "/work", Some(&body)).await;
+    let accepted = answer
+        .as_ref()
+        .is_some_and(|a| matches!(a.status, 200 | 201));
+    match accepted && submit.wait {
+        true => wait(cli, client, &job.id).await,
+        false => tell(cli, &job.id, answer),
+    }
+}
+
+/// One line about a job, or why there is none.
+fn tell(cli: &Cli, job: &str, answer: Option<Answer>) -> ExitCode {
+    match answer {
+        None => fail(UNANSWERED, "no node gave an answer in time"),
+        Some(answer) if matches!(answer.status, 200 | 201) => {
+            line(cli, job, &answer);
+            ExitCode::SUCCESS
+        }
+        Some(answer) => fail(REFUSED, &format!("{job}: {}", answer.error())),
+    }
+}
+
+fn line(cli: &Cli, job: &str, answer: &Answer) {
+    let count = |field: &str| answer.body[field].as_u64().unwrap_or(0);
+    let (done, running) = (count("done"), count("running"));
+    match cli.json {
+        true => {
+            let state = answer.state();
+            println!(
+                "{}",
+                json!({"job": job, "state": state, "done": done, "running": running})
+            );
+        }
+        false => println!("{job} {} ({done} done, {running} running)", answer.state()),
+    }
+}
+
+async fn wait(cli: &Cli, client: &Client, job: &str) -> ExitCode {
+    let bar = (std::io::stderr().is_terminal() && !cli.json).then(|| {
+        let style = ProgressStyle::with_template("{prefix} {spinner} {msg} {elapsed}");
+        let bar = ProgressBar::new_spinner().with_prefix(job.to_owned());
+        style.map_or(bar.clone(), |style| bar.with_style(style))
+    });
+    let mut last = Value::Null;
+    loop {
+        let answer = client.ask(Method::GET, &format!("/work/{job}"), None).await;
+        let Some(answer) = answer.filter(|a| a.status != 404 || last.is_null()) else {
+            return fail(UNANSWERED, "no node gave an answer in time");
+        };
+        if answer.status != 200 {
+            return tell(cli, job, Some(answer));
+        }
+        let state = answer.state().to_owned();
+        let over = matches!(state.as_str(), "done" | "cancelled");
+        match &bar {
+            Some(bar) => {
+                let count = |field: &str| answer.body[field].as_u64().unwrap_or(0);
+                let (done, running) = (count("done"), count("running"));
+                bar.set_message(format!("{state}, {done} done, {running} running"));
+                bar.tick();
+                if over {
+                    bar.finish_and_clear();
+                    line(cli, job, &answer);
+                }
+            }
+            None if answer.body != last => line(cli, job, &answer),
+            None => {}
+        }
+        if over {
+            return match state.as_str() {
+                "done" => ExitCode::SUCCESS,
+                _ => ExitCode::from(CANCELLED),
+            };
+        }
+        last = answer.body;
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+async fn licences(cli: &Cli, client: &Client) -> ExitCode {
+    let answer = client.ask(Method::GET, "/licences", None).await;
+    let Some(answer) = answer else {
+        return fail(UNANSWERED, "no node gave an answer in time");
+    };
+    if answer.status != 200 {
+        return fail(REFUSED, answer.error());
+    }
+    if cli.json {
+        println!("{}", answer.body);
+        return ExitCode::SUCCESS;
+    }
+    let empty = Vec::new();
+    let all = answer.body["licences"].as_array().unwrap_or(&empty);
+    println!(
+        "{:<24} {:>6} {:>6} {:>9} {:>7}  teams",
+        "licence", "seats", "in use", "lingering", "waiting"
+    );
+    for licence in all {
+        let number = |field: &str| licence[field].as_u64().unwrap_or(0);
+        let teams = licence["teams"].as_object().into_iter().flatten();
+        let teams: Vec<String> = teams.map(|(team, n)| format!("{team} {n}")).collect();
+        println!(
+            "{:<24} {:>6} {:>6} {:>9} {:>7}  {}",
+            licence["name"].as_str().unwrap_or("?"),
+            number("seats"),
+            number("in_use") + number("maybe") + number("elsewhere"),
+            number("lingering"),
+            number("waiting"),
+            teams.join(", ")
+        );
+    }
+    if answer.body["fresh"] != Value::Bool(true) {
+        let age = answer.body["age_ms"].as_u64().unwrap_or(0);
+        println!("as the leader told {age} ms ago");
+    }
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/crates/ctl/tests/ctl.rs
@@ -0,0 +1,150 @@
+//! When to ask again, what a job file may say, and the program against a scripted node.
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener},
+    process::Command,
+    thread::JoinHandle,
+    time::Duration,
+};
+
+use kiteyard_ctl::{
+    ask::{Ask, Next, Tried},
+    job::{Job, JobError, Kind, Priority},
+};
+
+#[test]
+fn a_request_goes_round_the_nodes_as_the_protocol_says() {
+    let s = Duration::from_secs;
+    let mut ask = Ask::new(3, s(60));
+    let again = |node, after| Next::Again { node, after };
+    // Those that can't be reached cost no pause, until all of them were tried.
+    assert_eq!(ask.step(s(0), Tried::Nothing), again(1, s(0)));
+    assert_eq!(ask.step(s(0), Tried::Nothing), again(2, s(0)));
+    assert_eq!(ask.step(s(0), Tried::Nothing), again(0, s(1)));
+    let busy = |retry| Tried::Status(503, retry);
+    assert_eq!(ask.step(s(1), busy(None)), again(1, s(1)));
+    assert_eq!(ask.step(s(2), busy(Some(s(7)))), again(2, s(7)));
+    assert_eq!(ask.step(s(9), busy(Some(s(900)))), again(0, s(30)));
+    assert_eq!(
+        ask.step(s(40), Tried::Status(429, Some(s(25)))),
+        Next::GiveUp
+    );
+    for status in [200, 201, 400, 404, 422] {
+        let tried = Tried::Status(status, None);
+        assert_eq!(ask.step(s(99), tried), Next::Final(status));
+    }
+}
+
+const JOB: &str = r#"
+id = "run-000007"
+class = "demo"
+team = "desk"
+image = "img-1"
+tasks = 6
+run_s = 1.0
+
+[licences]
+flow-solver = 1
+"#;
+
+#[test]
+fn a_job_file_says_what_is_sent() {
+    let job = Job::parse("job.toml", JOB).expect("a good file");
+    assert_eq!((job.kind, job.priority), (Kind::Array, Priority::Normal));
+    let body = job.submission();
+    assert_eq!(body["strings"], 6);
+    assert_eq!(body["licences"]["flow-solver"], 1);
+    let unknown = JOB.replace("run_s", "runs");
+    let error = Job::parse("job.toml", &unknown).expect_err("an unknown field");
+    assert!(
+        error.to_string().starts_with("job.toml: line 7: "),
+        "{error}"
+    );
+    let wrong = |from: &str, to: &str| {
+        let text = JOB.replace(from, to);
+        let job = Job::parse("job.toml", &text).expect("a good form");
+        match job.check() {
+            Err(JobError::Field(field, _)) => field,
+            other => panic!("{other:?}"),
+        }
+    };
+    assert_eq!(wrong("run-000007", "seven"), "id");
+    assert_eq!(wrong("tasks = 6", "tasks = 0"), "tasks");
+    assert_eq!(wrong("flow-solver = 1", "flow-solver = 0"), "licences");
+}
+
+/// A node that gives these answers, one a connection.
+fn node(answers: Vec<String>) -> (SocketAddr, JoinHandle<Vec<String>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    let thread = std::thread::spawn(move || {
+        let mut requests = Vec::new();
+        for answer in answers {
+            let (mut stream, _) = listener.accept().expect("a connection");
+            let mut bytes = [0; 4096];
+            let read = stream.read(&mut bytes).expect("a request");
+            let text = String::from_utf8_lossy(&bytes[..read]);
+            requests.push(text.lines().next().unwrap_or_default().to_owned());
+            stream.write_all(answer.as_bytes()).expect("an answer");
+        }
+        requests
+    });
+    (addr, thread)
+}
+
+fn answer(status: &str, body: &str) -> String {
+    let length = body.len();
+    format!("HTTP/1.1 {status}\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n{body}")
+}
+
+fn ctl(args: &[&str]) -> (Option<i32>, String, String) {
+    let output = Command::new(env!("CARGO_BIN_EXE_kiteyardctl"))
+        .env_remove("KITEYARD_NODES")
+        .args(args)
+        .output()
+        .expect("it runs");
+    let text = |bytes| String::from_utf8(bytes).expect("text");
+    (
+        output.status.code(),
+        text(output.stdout),
+        text(output.stderr),
+    )
+}
+
+#[test]
+fn the_program_asks_again_and_says_what_came_of_it() {
+    let running = r#"{"uid":"run-000007","attitude":"running","done":3,"running":2}"#;
+    let busy = answer("503 Service Unavailable\r\nretry-after: 1", "{}");
+    let (addr, served) = node(vec![busy, answer("200 OK", running)]);
+    let (code, out, _) = ctl(&[
+        "--node",
+        &addr.to_string(),
+        "--json",
+        "status",
+        "run-000007",
+    ]);
+    assert_eq!(code, Some(0));
+    assert!(
+        out.contains("\"state\":\"running\"") && out.contains("\"done\":3"),
+        "{out}"
+    );
+    let asked = served.join().expect("served");
+    assert_eq!(asked, ["GET /work/run-000007 HTTP/1.1"; 2]);
+
+    let (addr, served) = node(vec![answer("404 Not Found", r#"{"error":"no such job"}"#)]);
+    let (code, _, error) = ctl(&["--node", &addr.to_string(), "cancel", "run-000008"]);
+    assert_eq!(code, Some(3));
+    assert!(
+        error.contains("no such job") && error.lines().count() == 1,
+        "{error}"
+    );
+    served.join().expect("served");
+
+    let (code, _, error) = ctl(&["status", "run-000007"]);
+    assert_eq!(code, Some(2));
+    assert!(error.contains("--node"), "{error}");
+    let (code, _, _) = ctl(&["--node", "127.0.0.1:1", "--within-s", "0.1", "licences"]);
+    assert_eq!(code, Some(1));
+    assert!(ctl(&["completions", "bash"]).1.contains("kiteyardctl"));
+}
--- a/tests/binary.rs
+++ b/tests/binary.rs
@@ -327,6 +327,22 @@
     let mut odd = settings.clone();
     odd["unheard_of"] = json!({"a": 1});
     assert!(check(&odd).0);
+    // The file of licences is read as well, and the line of what is wrong is named.
+    let licences = path.with_extension("toml");
+    std::fs::write(&licences, "[licence.solver]\nseats = -1\n").expect("a file");
+    let file = |path: &std::path::Path| path.display().to_string();
+    let (ok, _, error) = run(&[
+        "--config",
+        &file(&path),
+        "--check",
+        "--licences",
+        &file(&licences),
+    ]);
+    assert!(
+        !ok && error.contains("line 2") && error.lines().count() == 1,
+        "{error}"
+    );
+    let _ = std::fs::remove_file(&licences);
     let mut bad = settings.clone();
     bad["params"]["workers"]["lease_s"] = json!("ten");
     let (ok, _, error) = check(&bad);
