--- a/crates/rollout/tests/exhaustive.rs
+++ b/crates/rollout/tests/exhaustive.rs
@@ -238,10 +238,8 @@
                 from,
                 to,
                 if_cluster,
-            } => {
-                if stands(*if_cluster) && self.end == Some(*from) {
-                    self.end = Some(*to);
-                }
+            } if stands(*if_cluster) && self.end == Some(*from) => {
+                self.end = Some(*to);
             }
             _ => {}
         }
