--- a/crates/ctl/src/job.rs
+++ b/crates/ctl/src/job.rs
@@ -101,12 +101,10 @@
     }
 
     pub fn parse(file: &str, text: &str) -> Result<Self, JobError> {
-        toml::from_str(text).map_err(|error| JobError::Form {
+        kiteyard_toml_file::parse(text).map_err(|wrong| JobError::Form {
             file: file.to_owned(),
-            line: error.span().map_or(1, |span| {
-                text[..span.start.min(text.len())].matches('\n').count() + 1
-            }),
-            message: error.message().replace('\n', " "),
+            line: wrong.line,
+            message: wrong.message,
         })
     }
 
--- a/crates/licences/src/config.rs
+++ b/crates/licences/src/config.rs
@@ -79,13 +79,8 @@
 
 impl Config {
     pub fn parse(text: &str) -> Result<Self, ConfigError> {
-        let file: File = toml::from_str(text).map_err(|error| {
-            let line = error
-                .span()
-                .map(|span| text[..span.start.min(text.len())].matches('\n').count() + 1);
-            let at = line.map_or(String::new(), |line| format!("line {line}: "));
-            ConfigError::Form(format!("{at}{}", error.message().replace('\n', " ")))
-        })?;
+        let file: File = kiteyard_toml_file::parse(text)
+            .map_err(|wrong| ConfigError::Form(wrong.to_string()))?;
         let mut licences = BTreeMap::new();
         for (name, entry) in file.licence {
             let licence = entry.check(&name)?;
--- a/crates/rollout/src/config.rs
+++ b/crates/rollout/src/config.rs
@@ -60,12 +60,8 @@
 impl Config {
     /// Reads the file; `features` are those that this build knows.
     pub fn parse(text: &str, features: &[Feature]) -> Result<Self, ConfigError> {
-        let file: File = toml::from_str(text).map_err(|error| {
-            let before = |at: usize| text[..at.min(text.len())].matches('\n').count() + 1;
-            let line = error.span().map(|span| before(span.start));
-            let at = line.map_or(String::new(), |line| format!("line {line}: "));
-            ConfigError::Form(format!("{at}{}", error.message().replace('\n', " ")))
-        })?;
+        let file: File = kiteyard_toml_file::parse(text)
+            .map_err(|wrong| ConfigError::Form(wrong.to_string()))?;
         let fail = |field, message: String| Err(ConfigError::Field { field, message });
         if !(0.0..=SOAK_MOST).contains(&file.soak_s) {
             return fail("soak_s", format!("must be 0 to {SOAK_MOST} seconds"));
--- /dev/null
+++ b/crates/toml-file/src/lib.rs
@@ -0,0 +1,29 @@
+//! Operators' TOML files: read, and what is wrong with them in one line.
+
+use std::fmt;
+
+use serde::de::DeserializeOwned;
+
+/// Not a file of the form that was expected.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Wrong {
+    pub line: usize,
+    /// Without line breaks.
+    pub message: String,
+}
+
+impl fmt::Display for Wrong {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "line {}: {}", self.line, self.message)
+    }
+}
+
+pub fn parse<T: DeserializeOwned>(text: &str) -> Result<T, Wrong> {
+    toml::from_str(text).map_err(|error| {
+        let start = error.span().map_or(0, |span| span.start.min(text.len()));
+        Wrong {
+            line: text[..start].matches('\n').count() + 1,
+            message: error.message().replace('\n', " "),
+        }
+    })
+}
