--- a/src/core/commands.rs
+++ b/src/core/commands.rs
@@ -70,18 +70,16 @@
 
     /// A machine that was called has answered. It has seen this leader's token, so
     /// nothing that a former one sent can begin there any more, and this is what it
-    /// holds. Its lease was kept alive by the former leader at the latest.
-    fn met(&mut self, id: &MachineId, report: &WorkerReport) {
-        let answered = self
-            .resolve_by
-            .saturating_sub(self.config.worker_lease_bound);
+    /// holds. Its lease began with its last answered report, or with its session, which
+    /// may be a new one: before this answer in any case, and not sooner than that is known.
+    fn met(&mut self, id: &MachineId, report: &WorkerReport, now: Duration) {
         let Some(machine) = self.machines.get_mut(id) else {
             return;
         };
         debug!(machine = %id, "called");
         machine.addr = Some(report.addr);
         machine.session = report.session;
-        machine.answered_at = Some(answered);
+        machine.answered_at = Some(now);
         if machine.standing == Standing::Booting {
             machine.standing = Standing::Up;
         }
@@ -133,7 +131,7 @@
             if !executed || report.session != direct.session {
                 return;
             }
-            self.met(&direct.machine, &report);
+            self.met(&direct.machine, &report, now);
         }
         let Some(machine) = self.machines.get_mut(&direct.machine) else {
             return;
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -13,7 +13,7 @@
         fleet::{CloudReply, CloudRequest},
         job::{JobId, JobRecord, JobSpec, Kind, Priority, Resources, TaskId, TaskSet},
         leader::{Found, Leader, Slot},
-        machine::{Command, MachineType, ReportedTask, TaskPhase, Why, WorkerReport},
+        machine::{Command, MachineType, ReportedTask, Standing, TaskPhase, Why, WorkerReport},
         mirror::LiveJob,
         roster::{Roster, ShardRecord},
     },
@@ -1142,3 +1142,34 @@
     assert_eq!(c.on(&fourth), ["vm-1"]);
     assert_eq!(c.on(&fifth), Vec::<String>::new());
 }
+
+/// A worker that is called may have begun a new session since the former leader was gone:
+/// its lease lasts from then, not from the former leader's end. Found in the simulated
+/// world as `ran_twice`: a start sent straight into such a session was taken for lost with
+/// the former one.
+#[test]
+fn a_called_worker_is_not_lost_before_a_lease_after_its_answer() {
+    use kiteyard::core::machine::DirectReply;
+
+    let shard = r#"{"kinds":[["m","a",false]],"jobs":["run-000001"],"machines":[["vm-1",0,[0]]]}"#;
+    let shard = ShardRecord::parse(shard).expect("a shard");
+    let resolve_by = Duration::from_secs(105);
+    let mut c = Cluster::after_a_take_over(4.0, vec![(0, shard, 1)], resolve_by);
+    let told = r#"{"images":[],"machines":{},"workers":{"vm-1":["127.0.0.1:9",2]}}"#;
+    c.leader.recall(serde_json::from_str(told).expect("hints"));
+    let direct = c.leader.direct_commands(c.now).pop().expect("it is called");
+    c.running.insert("vm-1".into(), Vec::new());
+    let report = c.report_under("vm-1", 2, c.leader.token);
+    c.now = Duration::from_secs(104);
+    c.leader
+        .direct_reply(&direct, DirectReply::Executed(report), c.now);
+    let standing = |c: &mut Cluster, at: u64| {
+        c.now = Duration::from_secs(at);
+        c.leader.proven = c.now;
+        c.leader.tick(c.now);
+        c.leader.machines["vm-1"].standing
+    };
+    assert_eq!(standing(&mut c, 106), Standing::Up);
+    assert_eq!(standing(&mut c, 113), Standing::Up);
+    assert_eq!(standing(&mut c, 115), Standing::Lost);
+}
