A node that gave the leadership away does not take it back at once

A lost answer in a take-over cost 1.9 s. Change: after giving way by itself a node does not claim for a leader's lease; the first try of a take-over's reads is given up after 0.5 s.

--- a/src/core/lead.rs
+++ b/src/core/lead.rs
@@ -9,7 +9,7 @@
 use tracing::info;
 
 use super::{
-    BACK_OFF, Node, Purpose,
+    BACK_OFF, Node, Purpose, STATE_TIMEOUT,
     job::{JobId, TaskSet},
     leader::{Found, Leader},
     mirror::LeaderRecord,
@@ -110,8 +110,14 @@
     roster_so_far: Vec<(u32, ShardRecord, u64)>,
     retry: Duration,
     in_flight: u32,
+    /// It was not read at the first try.
+    again: bool,
 }
 
+/// The first try of a take-over is given up after this time: what it reads changes nothing,
+/// and an answer that was lost must not hold everything up. Later ones take the usual time.
+const FIRST_TRY: Duration = Duration::from_millis(500);
+
 impl TakeOver {
     /// Takes a shard of the roster in; none where it can't be read.
     fn take_shard(&mut self, entry: &Entry) -> Option<()> {
@@ -529,7 +535,8 @@
             taking.roster_so_far.clear();
             taking.in_flight = 3;
             let after = self.mirror.cursor;
-            self.call(
+            self.call_within(
+                self.take_over_time(),
                 Purpose::TakeOver(Loading::Sync { claim }),
                 StateRequest::Watch {
                     prefix: LIVE.into(),
@@ -564,12 +571,20 @@
         self.leader = Some(leader);
     }
 
+    fn take_over_time(&self) -> Duration {
+        match &self.lead.taking {
+            Some(taking) if !taking.again => FIRST_TRY,
+            _ => STATE_TIMEOUT,
+        }
+    }
+
     fn take_over_page(&mut self, loading: Loading, after: Option<String>) {
         let prefix = match loading {
             Loading::Roster { .. } => ROSTER,
             _ => PROGRESS,
         };
-        self.call(
+        self.call_within(
+            self.take_over_time(),
             Purpose::TakeOver(loading),
             StateRequest::List {
                 prefix: prefix.into(),
@@ -600,9 +615,11 @@
             return;
         };
         let StateReply::Entries { entries, more, .. } = reply else {
+            let lost = !taking.again && matches!(reply, StateReply::Unclear);
             taking.in_flight -= 1;
             taking.started = false;
-            taking.retry = now + BACK_OFF;
+            taking.again = true;
+            taking.retry = if lost { now } else { now + BACK_OFF };
             return;
         };
         let last = entries.last().map(|e| e.key.clone());
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -407,6 +407,10 @@
             StateRequest::Watch { wait, .. } => *wait + STATE_TIMEOUT,
             _ => STATE_TIMEOUT,
         };
+        self.call_within(timeout, purpose, request);
+    }
+
+    fn call_within(&mut self, timeout: Duration, purpose: Purpose, request: StateRequest) {
         self.next_call += 1;
         self.calls.insert(self.next_call, purpose);
         self.out.push(Output::State {
--- a/src/core/rollout.rs
+++ b/src/core/rollout.rs
@@ -44,7 +44,7 @@
     next: Duration,
     /// Why this node does not act, as it was logged.
     refused: Option<String>,
-    /// A record that a take-over could not read: until then it is not tried again.
+    /// It gave the leadership away by itself, and until then does not claim it.
     blocked: Duration,
     /// The last key that could not be read where it is not watched.
     unread: Option<String>,
@@ -126,12 +126,14 @@
     /// runs, so nobody starts anything here. Another node may be able to.
     pub(super) fn stop_take_over(&mut self, key: &str) {
         self.cannot_read(key);
-        self.rollout.blocked = self.now() + self.config.leader_ttl;
         self.give_way("a stored record can't be read");
     }
 
-    /// Hands over, or where a former leader may still act, only leaves the place.
+    /// Hands over, or where a former leader may still act, only leaves the place. For a
+    /// leader's lease it does not take it again: workers go on coming here until they
+    /// have found the next one.
     fn give_way(&mut self, why: &str) {
+        self.rollout.blocked = self.now() + self.config.leader_ttl;
         let to = match self.former_stopped() {
             true => self.successor(),
             false => None,
