Machines can be emptied, and one ledger says what may be taken down

Need: a budget was one flag, added up twice in two ways, blind for teams, lost work and replicas that died; an operator could not have a machine emptied. Change: crates/maintenance (ledger, drain, file), asked by preemption, emptying for price and drains; a stored list under generation 4; kiteyardctl drain. Also mended: a held-back report of a machine that was returned made it count as up.

--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,5 +1,6 @@
 //! `kiteyardctl`: submits jobs, follows them and cancels them.
 
+mod drain;
 mod rollout;
 
 use std::{
@@ -65,6 +66,9 @@
     Cancel { job: String },
     /// Show licences: seats, in use, waiting, by team
     Licences,
+    /// Empty machines within the budgets of disruption
+    #[command(subcommand)]
+    Drain(drain::Command),
     /// Roll out a change of the stored state, node by node
     #[command(subcommand)]
     Rollout(rollout::Command),
@@ -153,6 +157,7 @@
         }
         Command::Wait { job } => wait(cli, &client, job).await,
         Command::Licences => licences(cli, &client).await,
+        Command::Drain(command) => drain::run(cli, &client, command).await,
         Command::Rollout(command) => rollout::run(cli, &client, command).await,
         Command::Completions { .. } => ExitCode::SUCCESS,
     }
--- /dev/null
+++ b/crates/maintenance/tests/ledger.rs
@@ -0,0 +1,152 @@
+//! The ledger against a plain one, the file, and a drain's steps.
+
+use std::time::Duration;
+
+use kiteyard_maintenance::{
+    config::Config,
+    drain::{Kind, Task, Waits, step},
+    ledger::{Ask, Ledger, Refusal, Replicas},
+};
+use proptest::prelude::*;
+
+const S: fn(u64) -> Duration = Duration::from_secs;
+
+fn standing(wanted: u32, up: u32, stopping: u32) -> Replicas {
+    Replicas {
+        wanted,
+        up,
+        stopping,
+    }
+}
+
+#[test]
+fn the_file_names_what_is_wrong() {
+    for (text, named) in [
+        ("[budget]\nmax_down = \"5\"", "budget.max_down"),
+        ("[budget]\nmax_down = -1", "line 2"),
+        ("[budget]\nfloor = 2.0", "budget.floor"),
+        ("[team.desk]\nmax_in_s = 0", "team.desk.max_in_s"),
+        ("[team.desk]\nmax_lost_s = -3", "team.desk.max_lost_s"),
+        ("[team.desk]\nmax = 3", "line 2"),
+    ] {
+        let error = Config::parse(text, 1).expect_err(text).to_string();
+        assert!(
+            error.contains(named) && error.lines().count() == 1,
+            "{error}"
+        );
+    }
+    let shipped = include_str!("../../../deploy/maintenance.toml");
+    let config = Config::parse(shipped, 1).expect("a good file");
+    assert_eq!(config.default.tasks, 1);
+    let ledger = Ledger::new(Config::parse("[budget]\nmax_down = \"5%\"", 1).expect("good"));
+    assert_eq!(
+        [1, 20, 39, 40, 1000].map(|wanted| ledger.most_down("any", wanted)),
+        [1, 1, 1, 2, 50]
+    );
+    let none = Ledger::new(Config::parse("[budget]\nmax_down = \"0%\"", 1).expect("good"));
+    assert_eq!(none.most_down("any", 1000), 0);
+}
+
+#[test]
+fn what_is_down_by_itself_uses_up_the_budget() {
+    let text = "[budget]\nmax_down = 2\nfloor = 0.9\n[team.desk]\nmax_in_s = 60\nmax_tasks = 1\n";
+    let mut ledger = Ledger::new(Config::parse(text, 1).expect("good"));
+    let ask = |team: &'static str, service| Ask {
+        team,
+        service: Some(service),
+        lost: Duration::ZERO,
+    };
+    let whole = [("care", standing(10, 10, 0)), ("care", standing(10, 9, 1))];
+    ledger.observe(whole.into_iter());
+    assert_eq!(ledger.ask(S(0), &ask("care", standing(10, 10, 0))), Ok(()));
+    let one_failed = ask("care", standing(10, 9, 0));
+    assert_eq!(ledger.ask(S(0), &one_failed), Ok(()));
+    let two_failed = ask("care", standing(10, 8, 0));
+    assert_eq!(ledger.ask(S(0), &two_failed), Err(Refusal::Service));
+    // Three of twenty are down, one by itself: below the floor nothing is stopped.
+    let low = [("care", standing(10, 9, 0)), ("care", standing(10, 8, 2))];
+    ledger.observe(low.into_iter());
+    assert_eq!(ledger.ask(S(0), &one_failed), Err(Refusal::Floor));
+    // Preemption is told of a breach, and not kept from it.
+    assert!(ledger.breach("care", standing(10, 8, 0), 1));
+    assert!(!Ledger::new(Config::plain(2)).breach("care", standing(10, 8, 0), 1));
+    // One task of this team a minute.
+    let desk = ask("desk", standing(5, 5, 0));
+    assert_eq!(ledger.ask(S(100), &desk), Ok(()));
+    ledger.take(S(100), &desk);
+    assert_eq!(ledger.ask(S(159), &desk), Err(Refusal::Window));
+    assert_eq!(ledger.ask(S(161), &desk), Ok(()));
+}
+
+#[test]
+fn a_drain_lets_work_end_and_stops_replicas_one_at_a_time() {
+    let task = |key: u32, kind, room| Task {
+        key,
+        team: "care".into(),
+        kind,
+        stopping: false,
+        service: (kind == Kind::Replica).then(|| standing(4, 4, 0)),
+        room,
+        lost: if kind == Kind::Replica { S(0) } else { S(50) },
+    };
+    let text = "[budget]\nmax_down = 1\nmax_in_s = 100\nmax_lost_s = 60\n";
+    let mut ledger = Ledger::new(Config::parse(text, 1).expect("good"));
+    let mut tasks = vec![
+        task(1, Kind::Array, true),
+        task(2, Kind::Replica, false),
+        task(3, Kind::Replica, true),
+        task(4, Kind::Replica, true),
+    ];
+    let first = step(S(0), false, &mut tasks, &mut ledger);
+    assert_eq!(first, (vec![3], Waits::Ending));
+    let none = step(S(0), false, &mut [] as &mut [Task<u32>], &mut ledger);
+    assert_eq!(none, (vec![], Waits::Nothing));
+    // Its time is over: work is stopped, as much as may be lost in a while.
+    let mut arrays = vec![task(5, Kind::Array, true), task(6, Kind::Array, true)];
+    assert_eq!(step(S(1), true, &mut arrays, &mut ledger).0, [5]);
+    let rest = step(S(2), true, &mut arrays[1..], &mut ledger);
+    assert_eq!(rest, (vec![], Waits::Work));
+    assert_eq!(step(S(102), true, &mut arrays[1..], &mut ledger).0, [6]);
+}
+
+/// What the ledger would be if it were kept as a list of everything.
+#[derive(Default)]
+struct Plain {
+    stopped: Vec<(u64, u64)>,
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 600,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(21),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn no_window_ever_holds_more_than_its_budget(
+        asks in prop::collection::vec((0..8u64, 0..40u64), 1..120),
+        tasks in 1..6u32,
+        lost in 10..80u64,
+        window in 5..60u64,
+    ) {
+        let text = format!(
+            "[budget]\nmax_in_s = {window}\nmax_tasks = {tasks}\nmax_lost_s = {lost}\n"
+        );
+        let mut ledger = Ledger::new(Config::parse(&text, 1).expect("good"));
+        let (mut plain, mut now) = (Plain::default(), 0);
+        for (later, seconds) in asks {
+            now += later;
+            let ask = Ask { team: "any", service: None, lost: S(seconds) };
+            let since = now.saturating_sub(window);
+            let lately: Vec<_> = plain.stopped.iter().filter(|(at, _)| *at > since).collect();
+            let sum: u64 = lately.iter().map(|(_, lost)| lost).sum();
+            let may = lately.len() < tasks as usize && (sum + seconds <= lost || sum == 0);
+            prop_assert_eq!(ledger.ask(S(now), &ask).is_ok(), may);
+            if may {
+                ledger.take(S(now), &ask);
+                plain.stopped.push((now, seconds));
+            }
+        }
+    }
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -28,6 +28,10 @@
     #[arg(long, value_name = "FILE")]
     pub rollout: Option<PathBuf>,
 
+    /// Budgets of disruption by team (TOML); without it, machines can't be drained
+    #[arg(long, value_name = "FILE")]
+    pub maintenance: Option<PathBuf>,
+
     /// Check the settings file, and the other files given, and exit
     #[arg(long)]
     pub check: bool,
@@ -94,10 +98,18 @@
         checked(self.rollout.as_deref(), "rollout", parse)
     }
 
+    /// Budgets of disruption, or what is wrong with the file.
+    pub fn maintenance(&self) -> Result<Option<Arc<kiteyard_maintenance::config::Config>>, String> {
+        let tasks = self.disruption_budget;
+        let parse = |text: &str| kiteyard_maintenance::config::Config::parse(text, tasks);
+        checked(self.maintenance.as_deref(), "maintenance", parse)
+    }
+
     pub fn options(&self) -> Options {
         Options {
             licences: None,
             rollout: None,
+            maintenance: None,
             idle_boots: self.idle_boots,
             grace: settings::seconds(self.grace_s),
             disruption_budget: self.disruption_budget,
--- a/src/core/commands.rs
+++ b/src/core/commands.rs
@@ -169,7 +169,8 @@
     /// Everything the worker should do now, in order: room is made before it is used.
     pub(super) fn commands(&mut self, id: &MachineId, seq: Option<u64>) -> Vec<Command> {
         let machine = self.machines.get_mut(id).expect("known machine");
-        let withheld = self.withheld.contains(&machine.zone);
+        let withheld =
+            self.withheld.contains(&machine.zone) || self.drains.machines.contains_key(&**id);
         let (mut ends, mut starts) = (Vec::new(), Vec::new());
         for ((task, attempt), placement) in &mut machine.tasks {
             let (task, attempt) = (task.clone(), *attempt);
--- a/src/core/config.rs
+++ b/src/core/config.rs
@@ -32,6 +32,8 @@
     pub licences: Option<Arc<kiteyard_licences::config::Config>>,
     /// How changes of the stored state are rolled out, if they are.
     pub rollout: Option<Arc<kiteyard_rollout::config::Config>>,
+    /// Budgets of disruption, where machines may be emptied.
+    pub maintenance: Option<Arc<kiteyard_maintenance::config::Config>>,
 }
 
 impl Default for Options {
@@ -42,6 +44,7 @@
             disruption_budget: 1,
             licences: None,
             rollout: None,
+            maintenance: None,
         }
     }
 }
@@ -89,6 +92,14 @@
 }
 
 impl Config {
+    /// What may be taken down on purpose.
+    pub fn budgets(&self) -> kiteyard_maintenance::config::Config {
+        match &self.options.maintenance {
+            Some(config) => (**config).clone(),
+            None => kiteyard_maintenance::config::Config::plain(self.options.disruption_budget),
+        }
+    }
+
     pub fn new(settings: &Settings, options: Options) -> Self {
         let params = &settings.params;
         let workers = &params.workers;
--- a/src/core/drain.rs
+++ b/src/core/drain.rs
@@ -7,6 +7,7 @@
 
 use std::{collections::HashMap, time::Duration};
 
+use kiteyard_maintenance::ledger::{Ask, Replicas};
 use tracing::info;
 
 use super::{
@@ -21,7 +22,7 @@
 const SETTLED: Duration = Duration::from_secs(30);
 
 impl Leader {
-    /// Begins to empty a machine, or goes on with one, within the disruption budget.
+    /// Begins to empty a machine, or goes on with one, as the ledger of disruption allows.
     pub(super) fn plan_drain(&mut self, now: Duration) {
         let draining = self
             .machines
@@ -102,28 +103,35 @@
         })
     }
 
-    /// Stops replicas on a machine that is to go, as many of each service at a
-    /// time as its disruption budget allows.
+    /// Stops replicas on a machine that is to go, as far as the ledger allows.
     fn move_replicas(&mut self, id: &MachineId, now: Duration) {
-        let budget = self.config.options.disruption_budget.max(1);
+        let services = self.observe_services();
         let running: Vec<(TaskId, u64)> = self.machines[id]
             .tasks
             .iter()
             .filter(|(_, p)| !p.exited() && !p.stopping() && !p.foreign)
             .map(|(key, _)| key.clone())
             .collect();
-        let mut stopping: HashMap<JobId, u32> = HashMap::new();
-        for ((task, _), p) in &self.machines[id].tasks {
-            if p.stopping() && p.phase == Phase::Seen(TaskPhase::Running) {
-                *stopping.entry(task.job.clone()).or_insert(0) += 1;
-            }
-        }
+        let mut moved: HashMap<JobId, u32> = HashMap::new();
         for key in running {
-            let Some(job) = self.jobs.get(&key.0.job) else {
+            let (Some(job), Some(standing)) = (self.jobs.get(&key.0.job), services.get(&key.0.job))
+            else {
                 continue;
             };
-            let stops = stopping.entry(key.0.job.clone()).or_insert(0);
-            if job.spec.tasks.saturating_sub(job.running) + *stops < budget {
+            let stops = moved.entry(key.0.job.clone()).or_insert(0);
+            let service = Replicas {
+                up: standing.up.saturating_sub(*stops),
+                stopping: standing.stopping + *stops,
+                ..*standing
+            };
+            let team = job.spec.team.clone();
+            let ask = Ask {
+                team: &team,
+                service: Some(service),
+                lost: Duration::ZERO,
+            };
+            if self.ledger.ask(now, &ask).is_ok() {
+                self.ledger.take(now, &ask);
                 *stops += 1;
                 self.stop(id, &key, self.config.options.grace, now);
             }
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -104,6 +104,11 @@
         }
     }
 
+    /// The cloud has taken it back. Names are never used again.
+    pub(super) fn was_returned(&self, id: &MachineId) -> bool {
+        self.returned.contains_key(id)
+    }
+
     /// The machine is being returned.
     pub(super) fn returns(&self, id: &MachineId) -> bool {
         self.releasing.contains(id)
@@ -128,6 +133,7 @@
             // One that hears nobody can't tell what is needed.
             if !self.outlook.doubts {
                 self.plan_returns(now);
+                self.plan_drains(now);
                 self.plan_drain(now);
                 self.plan_rentals(now);
             }
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -10,6 +10,7 @@
 
 use super::{
     config::Config,
+    drains::Progress,
     fleet::Fleet,
     flow::Flow,
     hints::Hints,
@@ -24,6 +25,10 @@
     roster::{Roster, ShardRecord},
     store::progress_key,
 };
+use kiteyard_maintenance::{
+    drain::{Drains, Waits},
+    ledger::Ledger,
+};
 
 /// Where one task stands.
 #[derive(Debug, Clone, PartialEq)]
@@ -152,6 +157,16 @@
     pub seats: Option<kiteyard_licences::ledger::Ledger>,
     /// What the silence of machines means, and the zones where somebody is to be asked.
     pub outlook: Outlook,
+    /// What may be taken down on purpose.
+    pub(super) ledger: Ledger,
+    /// Machines that operators want emptied, and how far they are.
+    pub(super) drains: Drains,
+    pub(super) draining: BTreeMap<MachineId, Progress>,
+    /// Why nothing is emptied now: by the node, and as it was logged.
+    pub(super) drains_pause: Option<Waits>,
+    pub(super) drains_paused: Option<Waits>,
+    /// When it took over.
+    pub(super) since: Duration,
     /// Zones where nobody may be sent a start.
     pub(super) withheld: BTreeSet<Arc<str>>,
     /// When the leases of zones are over that a former leader left unanswered.
@@ -226,6 +241,12 @@
             resolve_by,
             zones_over,
             withheld: BTreeSet::new(),
+            ledger: Ledger::new(config.budgets()),
+            drains: Drains::default(),
+            draining: BTreeMap::new(),
+            drains_pause: None,
+            drains_paused: None,
+            since: now,
             proven: Duration::ZERO,
             attempts: claim << 24,
             next_pass: Duration::ZERO,
@@ -383,6 +404,11 @@
     /// Takes in a report and says what to answer, or none where it came too late.
     pub fn report(&mut self, report: &WorkerReport, now: Duration) -> Option<(u64, Vec<Command>)> {
         let id = report.machine.clone();
+        if self.fleet.was_returned(&id) {
+            // It is gone: this was held back on its way, and nobody waits for an answer.
+            debug!(machine = %id, "report of a machine that was returned");
+            return None;
+        }
         let token = self.token;
         let machine = self.meet(&id, &report.machine_type, &report.zone, report.spot, now);
         // A report of a session that is over, or older than one seen already,
--- /dev/null
+++ b/src/core/maintenance.rs
@@ -0,0 +1,272 @@
+//! What operators ask of a node about machines: emptying them, how far that is, and not to.
+//!
+//! The list is one stored record, so that a machine stays cordoned through any change of
+//! the leader. The leader carries it out (`drains`) and strikes off what is gone.
+
+use std::time::Duration;
+
+use kiteyard_maintenance::drain::{Drain, Drains, MACHINES_MOST, Waits};
+use kiteyard_rollout::generation::Stage;
+use serde::{Deserialize, Serialize};
+use tracing::info;
+
+use super::{
+    Answer, BACK_OFF, Node, Purpose, RequestId,
+    drains::DRAINS,
+    job::Kind,
+    store::{DRAINS as KEY, GENERATION, LEADER, StateReply, StateRequest, put, when},
+};
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Ask {
+    Status,
+    /// Says what starting would do.
+    Plan(Vec<String>),
+    Start {
+        machines: Vec<String>,
+        by: Option<Duration>,
+    },
+    Cancel(Vec<String>),
+}
+
+/// One machine in an answer.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct MachineView {
+    pub machine: String,
+    pub zone: String,
+    /// cordoned, draining, empty or unknown; for a plan, kept.
+    pub state: String,
+    /// Replicas that move, array tasks and gang tasks that are let end.
+    pub replicas: u32,
+    pub array_tasks: u32,
+    pub gang_tasks: u32,
+    pub waits: Option<Waits>,
+    pub by_ms: Option<u64>,
+}
+
+#[derive(Debug, Default)]
+pub struct Maintenance {
+    retry: Duration,
+    storing: bool,
+}
+
+const RETRY: Duration = Duration::from_secs(1);
+
+impl Node {
+    pub(super) fn maintenance_asked(&mut self, request: RequestId, ask: Ask) {
+        if self.config.options.maintenance.is_none() {
+            let why = "maintenance is off: start the nodes with --maintenance FILE";
+            self.answer(request, Answer::Impossible(why.into()));
+            return;
+        }
+        if !self.places() || !self.former_stopped() {
+            // Only the leader knows the machines, and one before it may still start
+            // something there.
+            self.answer(request, Answer::Later { retry: RETRY });
+            return;
+        }
+        match ask {
+            Ask::Status => self.answer_drains(request, None),
+            Ask::Plan(machines) => match self.objection_to_drain(&machines) {
+                Some(why) => self.answer(request, Answer::Impossible(why)),
+                None => self.answer_drains(request, Some(machines)),
+            },
+            Ask::Start { machines, by } => {
+                if let Some(why) = self.objection_to_drain(&machines) {
+                    self.answer(request, Answer::Impossible(why));
+                    return;
+                }
+                let mut drains = self.mirror.drains.0.clone();
+                let since_ms = self.clock.wall_ms;
+                let by_ms = by.map(|by| since_ms + by.as_millis() as u64);
+                for machine in machines {
+                    // Asked for again, only its time may change.
+                    let drain = drains.machines.entry(machine);
+                    drain.or_insert(Drain { since_ms, by_ms }).by_ms = by_ms;
+                }
+                self.store_drains(drains, Some(request));
+            }
+            Ask::Cancel(machines) => {
+                let mut drains = self.mirror.drains.0.clone();
+                let unknown = machines.iter().find(|m| !drains.machines.contains_key(*m));
+                if let Some(machine) = unknown {
+                    let why = format!("{machine} is not being emptied");
+                    self.answer(request, Answer::Impossible(why));
+                    return;
+                }
+                drains
+                    .machines
+                    .retain(|machine, _| !machines.contains(machine));
+                self.store_drains(drains, Some(request));
+            }
+        }
+    }
+
+    /// What is in the way of emptying these machines, said when it is asked for.
+    fn objection_to_drain(&self, machines: &[String]) -> Option<String> {
+        let leader = self.leader.as_ref()?;
+        if self.mirror.cluster.0.written() < DRAINS.since {
+            let needs = DRAINS.since;
+            return Some(format!(
+                "generation {needs} is not in use, see rollout status"
+            ));
+        }
+        if machines.is_empty() {
+            return Some("machines: name one at least".into());
+        }
+        let drains = &self.mirror.drains.0.machines;
+        let new = machines.iter().filter(|m| !drains.contains_key(*m)).count();
+        if drains.len() + new > MACHINES_MOST {
+            return Some(format!("no more than {MACHINES_MOST} machines at a time"));
+        }
+        for name in machines {
+            let Some(machine) = leader.machines.get(&**name) else {
+                return Some(format!("no machine {name}"));
+            };
+            for placement in machine.tasks.values().filter(|p| !p.exited()) {
+                let Some(spec) = placement.spec.as_ref() else {
+                    continue;
+                };
+                let none = leader.ledger.most_down(&spec.team, spec.tasks) == 0;
+                if spec.kind == Kind::Service && none {
+                    let (team, id) = (&spec.team, &spec.id);
+                    return Some(format!(
+                        "{name} has a replica of {id}, and team {team} allows none to be down"
+                    ));
+                }
+                let elsewhere = leader.types.iter().any(|t| {
+                    spec.allows_type(&t.name)
+                        && spec.need.fits_in(&t.size)
+                        && spec
+                            .zone
+                            .as_ref()
+                            .is_none_or(|z| t.zones.iter().any(|o| **o == **z))
+                });
+                if !elsewhere {
+                    return Some(format!(
+                        "{name} runs {}, which fits no other machine",
+                        spec.id
+                    ));
+                }
+            }
+        }
+        None
+    }
+
+    fn answer_drains(&mut self, request: RequestId, planned: Option<Vec<String>>) {
+        let Some(leader) = &self.leader else { return };
+        let drains = &self.mirror.drains.0.machines;
+        let names = match &planned {
+            Some(names) => names.clone(),
+            None => drains.keys().cloned().collect(),
+        };
+        let view = |name: String| {
+            let machine = leader.machines.get(&*name);
+            let count = |kind: Kind| {
+                let tasks = machine.into_iter().flat_map(|m| m.tasks.values());
+                let left = tasks.filter(|p| !p.exited());
+                let own = left.filter(|p| p.spec.as_ref().is_some_and(|s| s.kind == kind));
+                own.count() as u32
+            };
+            let progress = leader.draining.get(&*name);
+            let state = match (drains.contains_key(&name), machine, progress) {
+                (_, None, _) => "unknown",
+                (false, _, _) => "kept",
+                (true, _, None) => "cordoned",
+                (true, _, Some(progress)) if progress.tasks == 0 => "empty",
+                _ => "draining",
+            };
+            MachineView {
+                zone: machine.map_or(String::new(), |m| m.zone.to_string()),
+                state: state.into(),
+                replicas: count(Kind::Service),
+                array_tasks: count(Kind::Array),
+                gang_tasks: count(Kind::Gang),
+                waits: progress.map(|p| p.waits),
+                by_ms: drains.get(&name).and_then(|d| d.by_ms),
+                machine: name,
+            }
+        };
+        let views = names.into_iter().map(view).collect();
+        self.answer(request, Answer::Drains(views));
+    }
+
+    fn store_drains(&mut self, drains: Drains, request: Option<RequestId>) {
+        let Some(claim) = self.claim() else { return };
+        self.maintenance.storing = true;
+        let conditions = vec![
+            when(LEADER, claim),
+            when(KEY, self.mirror.drains.1),
+            when(GENERATION, self.mirror.cluster.1),
+        ];
+        let changes = vec![put(KEY, &drains)];
+        self.call(
+            Purpose::StoreDrains { request, drains },
+            StateRequest::Txn {
+                conditions,
+                changes,
+            },
+        );
+    }
+
+    pub(super) fn drains_stored(
+        &mut self,
+        request: Option<RequestId>,
+        drains: Drains,
+        reply: &StateReply,
+    ) {
+        self.maintenance.storing = false;
+        self.maintenance.retry = self.now() + BACK_OFF;
+        let committed = match reply {
+            StateReply::Committed { revision } => {
+                if *revision > self.mirror.drains.1 {
+                    self.mirror.drains = (drains, *revision);
+                }
+                true
+            }
+            _ => false,
+        };
+        // Nothing is started there from this answer on.
+        self.cordon();
+        let Some(request) = request else { return };
+        match committed && self.places() {
+            true => self.answer_drains(request, None),
+            false => self.answer(request, Answer::Later { retry: RETRY }),
+        }
+    }
+
+    fn cordon(&mut self) {
+        let now = self.now();
+        if let Some(leader) = &mut self.leader {
+            leader.cordon(self.mirror.drains.0.clone(), now);
+        }
+    }
+
+    /// Follows the stored list, and strikes off machines that are gone.
+    pub(super) fn pump_maintenance(&mut self) {
+        let now = self.now();
+        if self.mirror.drains.1 == 0 || !self.places() {
+            return;
+        }
+        self.cordon();
+        let moves = self.mirror.cluster.0.stage != Stage::Settled;
+        let off = self.mirror.cluster.0.written() < DRAINS.since;
+        let Some(leader) = &mut self.leader else {
+            return;
+        };
+        leader.drains_pause = moves.then_some(Waits::Rollout);
+        if self.maintenance.storing || now < self.maintenance.retry {
+            return;
+        }
+        let mut drains = self.mirror.drains.0.clone();
+        // Going back to a generation that knows no list leaves none behind.
+        drains
+            .machines
+            .retain(|machine, _| !off && !leader.is_gone(machine, now));
+        if drains != self.mirror.drains.0 {
+            let left = drains.machines.len();
+            info!(left, "machines drained");
+            self.store_drains(drains, None);
+        }
+    }
+}
--- a/src/core/mirror.rs
+++ b/src/core/mirror.rs
@@ -5,6 +5,7 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
+use kiteyard_maintenance::drain::Drains;
 use kiteyard_rollout::generation::{Ability, Cluster, Orders};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
@@ -13,7 +14,8 @@
     job::{JobId, JobRecord},
     machine::MachineType,
     store::{
-        APART, Entry, Event, GENERATION, JOBS, LEADER, NODES, ORDERS, SETTLED, TYPES, job_key,
+        APART, DRAINS, Entry, Event, GENERATION, JOBS, LEADER, NODES, ORDERS, SETTLED, TYPES,
+        job_key,
     },
 };
 
@@ -47,6 +49,8 @@
     pub orders: (Orders, u64),
     /// Zones that are cut off, and the revision; 0: there is no such key.
     pub apart: (ApartRecord, u64),
+    /// Machines that are to be emptied, and the revision; 0: there is no such key.
+    pub drains: (Drains, u64),
     /// What nodes' processes said they are able to, and the revision; none where this one
     /// can't read it.
     pub nodes: BTreeMap<String, (Option<Ability>, u64)>,
@@ -145,6 +149,10 @@
                 let revision = if event.value.is_some() { revision } else { 0 };
                 self.apart = (self.read(event).unwrap_or_default(), revision);
             }
+            DRAINS => {
+                let revision = if event.value.is_some() { revision } else { 0 };
+                self.drains = (self.read(event).unwrap_or_default(), revision);
+            }
             key => match key.strip_prefix(NODES) {
                 Some(node) => self.node_told(node.to_owned(), event),
                 None => return self.apply_job(event),
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -5,6 +5,7 @@
 pub mod commands;
 pub mod config;
 pub mod drain;
+pub mod drains;
 pub mod failures;
 pub mod finals;
 pub mod fleet;
@@ -16,6 +17,7 @@
 pub mod lead;
 pub mod leader;
 pub mod machine;
+pub mod maintenance;
 pub mod members;
 pub mod migrate;
 pub mod mirror;
@@ -91,6 +93,10 @@
         request: RequestId,
         ask: rollout::Ask,
     },
+    Maintenance {
+        request: RequestId,
+        ask: maintenance::Ask,
+    },
     /// The process is about to end.
     Retire,
     Report {
@@ -193,6 +199,7 @@
     /// How licences stand, and how old that is where this node does not lead.
     Licences(Vec<LicenceView>, Option<Duration>),
     Rollout(Box<kiteyard_rollout::view::Status>),
+    Drains(Vec<maintenance::MachineView>),
     Commands {
         token: u64,
         commands: Vec<Command>,
@@ -252,6 +259,10 @@
         request: RequestId,
     },
     Migrate((u64, u64), migrate::Asked),
+    StoreDrains {
+        request: Option<RequestId>,
+        drains: kiteyard_maintenance::drain::Drains,
+    },
     StoreApart {
         claim: u64,
         record: apart::ApartRecord,
@@ -293,6 +304,7 @@
     saves: saves::Saves,
     rollout: rollout::Rollout,
     apart: apart::Apart,
+    maintenance: maintenance::Maintenance,
     /// Ends of jobs by range, where they are stored so.
     ranges: finals::Ranges,
     relays: Relays,
@@ -310,6 +322,7 @@
             saves: saves::Saves::new(&config),
             rollout: rollout::Rollout::new(config.options.rollout.as_deref()),
             apart: apart::Apart::default(),
+            maintenance: maintenance::Maintenance::default(),
             ranges: finals::Ranges::default(),
             relays: Relays::default(),
             pulses: pulse::Pulses::default(),
@@ -355,6 +368,7 @@
             }
             Input::Licences { request } => self.licences(request),
             Input::Rollout { request, ask } => self.rollout_asked(request, ask),
+            Input::Maintenance { request, ask } => self.maintenance_asked(request, ask),
             Input::Retire => self.retire(),
             Input::Report { request, report } => self.report(request, report),
             Input::State { call, reply } => {
@@ -438,6 +452,7 @@
         self.pump_rollout();
         self.pump_lead();
         self.pump_apart();
+        self.pump_maintenance();
         self.pump_polls();
         self.pump_relays();
         self.pump_hints();
@@ -622,6 +637,9 @@
             Purpose::StoreGeneration => self.generation_stored(&reply),
             Purpose::Order { request } => self.order_stored(request, &reply),
             Purpose::Migrate(about, asked) => self.migrated(about, asked, reply),
+            Purpose::StoreDrains { request, drains } => {
+                self.drains_stored(request, drains, &reply);
+            }
             Purpose::StoreApart { claim, record } => self.apart_stored(claim, record, &reply),
             Purpose::TakeOver(loading) => self.take_over_reply(loading, reply),
             Purpose::Save(save) => self.saved(save, reply),
--- a/src/core/rollout.rs
+++ b/src/core/rollout.rs
@@ -14,13 +14,14 @@
 use super::{
     Answer, BACK_OFF, Node, Purpose, RequestId,
     apart::ZONES_APART,
+    drains::DRAINS,
     finals::PACKED_FINALS,
     migrate::Migration,
     store::{GENERATION, LEADER, ORDERS, StateReply, StateRequest, node_key, put, when},
 };
 
 /// All changes of the stored state that this build knows.
-pub const FEATURES: &[Feature] = &[PACKED_FINALS, ZONES_APART];
+pub const FEATURES: &[Feature] = &[PACKED_FINALS, ZONES_APART, DRAINS];
 
 /// What operators ask of a node.
 #[derive(Debug, Clone, PartialEq)]
@@ -269,9 +270,10 @@
     }
 
     /// No record is left of what a generation that is being left has stored.
-    fn no_zones_left(&self) -> bool {
-        let lists = self.mirror.cluster.0.written() >= ZONES_APART.since;
-        lists || self.mirror.apart.0.zones.is_empty()
+    fn nothing_left(&self) -> bool {
+        let written = self.mirror.cluster.0.written();
+        let no_zones = written >= ZONES_APART.since || self.mirror.apart.0.zones.is_empty();
+        no_zones && (written >= DRAINS.since || self.mirror.drains.0.machines.is_empty())
     }
 
     fn configured(&self) -> impl Iterator<Item = &String> {
@@ -302,7 +304,7 @@
             revision,
             orders: self.mirror.orders.0.clone(),
             nodes: self.configured().map(seen).collect::<BTreeMap<_, _>>(),
-            clean: self.rollout.migration.clean(revision) && self.no_zones_left(),
+            clean: self.rollout.migration.clean(revision) && self.nothing_left(),
         }
     }
 
--- a/src/core/sched.rs
+++ b/src/core/sched.rs
@@ -9,6 +9,8 @@
 
 use tracing::info;
 
+use kiteyard_maintenance::ledger::Replicas;
+
 use super::{
     job::{JobId, JobSpec, Kind, Priority, Resources, TaskId},
     leader::{Job, Leader, Slot},
@@ -153,6 +155,7 @@
         machine.standing == Standing::Up
             && machine.fenced
             && machine.notice_at.is_none()
+            && !self.cordoned(&machine.id)
             && self.reaches(&machine.zone)
             && machine
                 .heard_at
@@ -659,7 +662,7 @@
             return None;
         }
         // Budget-breaking ones are restored first, then by priority, then the oldest.
-        let mut stopping: HashMap<JobId, u32> = HashMap::new();
+        let mut stopping: HashMap<JobId, (Replicas, u32)> = HashMap::new();
         let mut budgeted: Vec<_> = candidates
             .into_iter()
             .map(|(key, victim, since)| {
@@ -722,19 +725,15 @@
     }
 
     /// More of a service's tasks would be stopping than its disruption budget allows.
-    fn breaks_budget(&self, victim: &JobSpec, stopping: &mut HashMap<JobId, u32>) -> bool {
+    fn breaks_budget(&self, victim: &JobSpec, more: &mut HashMap<JobId, (Replicas, u32)>) -> bool {
         if victim.kind != Kind::Service {
             return false;
         }
-        let count = stopping.entry(victim.id.clone()).or_insert_with(|| {
-            self.machines
-                .values()
-                .flat_map(|m| &m.tasks)
-                .filter(|((task, _), p)| task.job == victim.id && p.stopping() && !p.exited())
-                .count() as u32
-        });
+        let (standing, count) = more
+            .entry(victim.id.clone())
+            .or_insert_with(|| (self.standing(&victim.id), 0));
         *count += 1;
-        *count > self.config.options.disruption_budget
+        self.ledger.breach(&victim.team, *standing, *count)
     }
 
     fn nominate(&mut self, view: &mut View, id: &JobId, spec: &JobSpec, plan: Plan, now: Duration) {
--- a/src/core/store.rs
+++ b/src/core/store.rs
@@ -16,6 +16,8 @@
 /// The generation of the stored forms, and what operators want of it.
 pub const GENERATION: &str = "live/generation";
 pub const ORDERS: &str = "live/orders";
+/// Machines that operators want emptied.
+pub const DRAINS: &str = "live/drains";
 /// Zones that are cut off, and since when nobody there was answered.
 pub const APART: &str = "live/apart";
 /// What each node's process is able to.
--- a/src/io/server.rs
+++ b/src/io/server.rs
@@ -16,7 +16,7 @@
 
 use super::Call;
 use crate::{
-    core::{Answer, Input, RequestId, job::JobId, rollout::Ask},
+    core::{Answer, Input, RequestId, job::JobId, maintenance, rollout::Ask},
     wire,
 };
 
@@ -71,6 +71,8 @@
         .at("/rollout", get(on(Handle::Rollout)))
         .at("/rollout/:order", post(on(Handle::Order)))
         .at("/rollout/:order/:what", post(on(Handle::Order)))
+        .at("/drains", get(on(Handle::Drains)))
+        .at("/drains/:order", post(on(Handle::Drain)))
         .at("/ready", get(on(Handle::Ready)))
         .at("/checkin", post(on(Handle::Report)))
         .catch_all_error(|error| async move {
@@ -88,6 +90,8 @@
     Licences,
     Rollout,
     Order,
+    Drains,
+    Drain,
 }
 
 struct Served {
@@ -116,6 +120,20 @@
             Handle::Ready => self.api.ask(|request| Input::Ready { request }).await,
             Handle::Licences => self.api.ask(|request| Input::Licences { request }).await,
             Handle::Rollout => self.rollout(Ask::Status).await,
+            Handle::Drains => self.maintenance(maintenance::Ask::Status).await,
+            Handle::Drain => {
+                let order = request.path_params::<String>().unwrap_or_default();
+                match read(request)
+                    .await
+                    .map(|body| wire::user::parse_drain(&order, &body))
+                {
+                    Ok(Ok(ask)) => self.maintenance(ask).await,
+                    Ok(Err(message)) => {
+                        text(StatusCode::BAD_REQUEST, wire::user::error_answer(&message))
+                    }
+                    Err(response) => response,
+                }
+            }
             Handle::Order => {
                 let path = request.uri().path();
                 match wire::user::parse_order(path.trim_start_matches("/rollout/")) {
@@ -146,6 +164,12 @@
         }
     }
 
+    async fn maintenance(&self, ask: maintenance::Ask) -> Response {
+        self.api
+            .ask(move |request| Input::Maintenance { request, ask })
+            .await
+    }
+
     async fn rollout(&self, ask: Ask) -> Response {
         self.api
             .ask(move |request| Input::Rollout { request, ask })
@@ -258,6 +282,7 @@
             text(StatusCode::OK, wire::user::licences_answer(&view, age))
         }
         Answer::Rollout(status) => text(StatusCode::OK, wire::user::rollout_answer(&status)),
+        Answer::Drains(machines) => text(StatusCode::OK, wire::user::drains_answer(&machines)),
         Answer::Later { retry } => later(retry),
         Answer::Ready(true) => text(StatusCode::OK, "{}".into()),
         Answer::Ready(false) => later(Duration::from_secs(1)),
--- a/src/main.rs
+++ b/src/main.rs
@@ -37,6 +37,7 @@
     let settings = Settings::load(&cli.config)?;
     let licences = cli.licences()?;
     let rollout = cli.rollout()?;
+    let maintenance = cli.maintenance()?;
     if cli.check {
         return Ok(());
     }
@@ -59,6 +60,7 @@
     let options = Options {
         licences,
         rollout,
+        maintenance,
         ..cli.options()
     };
     runtime.block_on(io::serve(settings, options))?;
--- a/src/wire/user.rs
+++ b/src/wire/user.rs
@@ -8,6 +8,7 @@
 
 use crate::core::{
     job::{JobId, JobSpec, JobState, Kind, Priority, Resources},
+    maintenance::{self, MachineView},
     rollout::Ask,
     seats::LicenceView,
 };
@@ -188,6 +189,37 @@
     serde_json::to_string(status).unwrap_or_default()
 }
 
+/// Machines that are to be emptied, or would be.
+pub fn drains_answer(machines: &[MachineView]) -> String {
+    serde_json::json!({ "machines": machines }).to_string()
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct DrainOrder {
+    machines: Vec<String>,
+    #[serde(default)]
+    by_s: Option<f64>,
+}
+
+/// What an operator wants done about machines.
+pub fn parse_drain(order: &str, body: &[u8]) -> Result<maintenance::Ask, String> {
+    let parsed: DrainOrder = serde_json::from_slice(body).map_err(|e| e.to_string())?;
+    let by = match parsed.by_s {
+        Some(by) if !(0.0..=30.0 * 86_400.0).contains(&by) => {
+            return Err("by_s: must be 0 to 30 days in seconds".into());
+        }
+        by => by.map(Duration::from_secs_f64),
+    };
+    let machines = parsed.machines;
+    match order {
+        "plan" => Ok(maintenance::Ask::Plan(machines)),
+        "start" => Ok(maintenance::Ask::Start { machines, by }),
+        "cancel" => Ok(maintenance::Ask::Cancel(machines)),
+        _ => Err(format!("no order {order}")),
+    }
+}
+
 /// What an operator orders, from the rest of the path after `/rollout/`.
 pub fn parse_order(path: &str) -> Result<Ask, String> {
     let (order, what) = path.split_once('/').unwrap_or((path, ""));
--- a/tests/forms.rs
+++ b/tests/forms.rs
@@ -13,6 +13,7 @@
     },
     wire::peer::Line,
 };
+use kiteyard_maintenance::drain::Drains;
 use kiteyard_rollout::generation::{Ability, Cluster, Orders};
 use proptest::prelude::*;
 use serde::{Serialize, de::DeserializeOwned};
@@ -21,6 +22,7 @@
 const FIRST: &str = include_str!("forms/generation-1.jsonl");
 const SECOND: &str = include_str!("forms/generation-2.jsonl");
 const THIRD: &str = include_str!("forms/generation-3.jsonl");
+const FOURTH: &str = include_str!("forms/generation-4.jsonl");
 const PEERS: &str = include_str!("forms/peers.jsonl");
 
 fn again<T: DeserializeOwned + Serialize>(text: &str) -> Option<String> {
@@ -48,6 +50,7 @@
         ("live", "types") => again::<Vec<MachineType>>(text),
         ("live", "generation") => again::<Cluster>(text),
         ("live", "orders") => again::<Orders>(text),
+        ("live", "drains") => again::<Drains>(text),
         ("live", "apart") => again::<ApartRecord>(text),
         ("live", rest) if rest.starts_with("node/") => again::<Ability>(text),
         ("live", _) => again::<JobRecord>(text),
@@ -60,7 +63,8 @@
 }
 
 fn lines() -> impl Iterator<Item = &'static str> {
-    FIRST.lines().chain(SECOND.lines()).chain(THIRD.lines())
+    let first = FIRST.lines().chain(SECOND.lines());
+    first.chain(THIRD.lines()).chain(FOURTH.lines())
 }
 
 fn stored() -> Vec<(String, Value)> {
--- a/tests/roll.rs
+++ b/tests/roll.rs
@@ -23,7 +23,7 @@
 
 const NODES: usize = 3;
 /// The generation that the new build goes to.
-const NEWEST: u64 = 3;
+const NEWEST: u64 = 4;
 
 fn number(variable: &str, otherwise: usize) -> usize {
     let set = std::env::var(variable).ok();
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -3,6 +3,7 @@
 //! observer that knows nothing of the cores checks the protocol's rules.
 
 mod cases;
+mod draining;
 mod observer;
 mod rolling;
 mod rollout;
--- a/tests/world/observer.rs
+++ b/tests/world/observer.rs
@@ -50,7 +50,7 @@
         self.broken.clone()
     }
 
-    fn breaks(&mut self, now: Duration, rule: &str, what: String) {
+    pub fn breaks(&mut self, now: Duration, rule: &str, what: String) {
         // A few of each, so that one rule does not hide another.
         if self.broken.iter().filter(|b| b.starts_with(rule)).count() < 5 {
             self.broken
--- a/tests/world/rollout.rs
+++ b/tests/world/rollout.rs
@@ -1,14 +1,16 @@
 //! What a rollout adds to the world: nodes of different generations in one run, troubles
 //! that come with a stage, and processes that are unsafe in ways of their own.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use kiteyard::core::{
-    Input,
+    Answer, Input, Output,
+    machine::Command,
+    maintenance,
     relay::PeerMessage,
     rollout::Ask,
     rollout::FEATURES,
-    store::{APART, Change, ENDS, GENERATION, JOBS, ROSTER, StateReply, StateRequest},
+    store::{APART, Change, DRAINS, ENDS, GENERATION, JOBS, ROSTER, StateReply, StateRequest},
 };
 use kiteyard_rollout::{
     config::Config,
@@ -26,6 +28,9 @@
 /// after.
 pub type OnStage = (u32, Stage, Duration, Case, Duration);
 
+/// The request by which machines are emptied.
+const DRAIN: u64 = u64::MAX - 1;
+
 pub struct Roll {
     /// The ability that each node's process is started with.
     pub most: [u32; NODES],
@@ -47,6 +52,11 @@
     placed: Duration,
     pub gap: Duration,
     pub gap_from: Duration,
+    pub maintenance: Option<Arc<kiteyard_maintenance::config::Config>>,
+    /// Machines that are being emptied, asked for and answered.
+    wanted: Vec<String>,
+    pub cordoned: BTreeMap<String, Duration>,
+    pub returned: usize,
     /// When a leader last had machines whose tasks it did not know.
     pub unresolved: Duration,
     last_told: Option<Told>,
@@ -72,6 +82,10 @@
             gap: Duration::ZERO,
             gap_from: Duration::MAX,
             unresolved: Duration::ZERO,
+            maintenance: None,
+            wanted: Vec::new(),
+            cordoned: BTreeMap::new(),
+            returned: 0,
             last_told: None,
             asked: None,
             spare_successor: false,
@@ -240,6 +254,75 @@
         crashes
     }
 
+    pub fn drain(&mut self, mut machines: Vec<String>) {
+        // Idle ones may have been returned by then.
+        machines.retain(|machine| self.workers.contains_key(machine));
+        if machines.iter().all(|m| self.roll.cordoned.contains_key(m)) {
+            return;
+        }
+        self.roll.wanted = machines.clone();
+        let node = self.leading();
+        let ask = maintenance::Ask::Start {
+            machines: machines.clone(),
+            by: Some(Duration::from_secs(10)),
+        };
+        self.step(
+            node,
+            Input::Maintenance {
+                request: DRAIN,
+                ask,
+            },
+        );
+        self.push(self.now + ms(700), Event::Drain(machines));
+    }
+
+    /// No start goes to a machine once its operator was told that it is being emptied.
+    pub fn look_at_output(&mut self, output: &Output) {
+        let starts = |commands: &[Command]| {
+            let mut starts = commands.iter();
+            starts.any(|command| matches!(command, Command::Start { .. }))
+        };
+        let machine = match output {
+            Output::Answer {
+                request: DRAIN,
+                answer: Answer::Drains(_),
+            } => {
+                for machine in std::mem::take(&mut self.roll.wanted) {
+                    self.roll.cordoned.insert(machine, self.now);
+                }
+                return;
+            }
+            Output::Answer {
+                request,
+                answer: Answer::Commands { commands, .. },
+            } if starts(commands) => self.asker(*request),
+            Output::Direct { direct, .. } if starts(&direct.commands) => {
+                Some(direct.machine.to_string())
+            }
+            _ => None,
+        };
+        if let Some(machine) = machine.filter(|m| self.roll.cordoned.contains_key(m)) {
+            self.observer.breaks(self.now, "cordoned", machine);
+        }
+    }
+
+    /// A machine that was being emptied is returned with nothing on it.
+    pub fn look_at_return(&mut self, machine: &str) {
+        if !self.roll.cordoned.contains_key(machine) {
+            return;
+        }
+        let hung = |w: &crate::sim::Worker| w.hung_until > self.now;
+        if self
+            .workers
+            .get(machine)
+            .is_some_and(|w| w.holds() && !hung(w))
+        {
+            self.observer
+                .breaks(self.now, "returned_busy", machine.into());
+        }
+        self.roll.returned += 1;
+    }
+
     /// What a process asks for that is unsafe in its way.
     pub fn tampered_forms(&self, node: usize, mut request: StateRequest) -> StateRequest {
         let blind = self.roll.before[node] || self.sabotage == Sabotage::NoGeneration;
@@ -278,6 +361,13 @@
                 _ => {}
             }
         }
+        if self.sabotage == Sabotage::ForgetsDrains {
+            match reply {
+                StateReply::Entries { entries, .. } => entries.retain(|e| e.key != DRAINS),
+                StateReply::Events { events, .. } => events.retain(|e| e.key != DRAINS),
+                _ => {}
+            }
+        }
         let StateReply::Entries { entries, .. } = reply else {
             return;
         };
--- a/tests/world/sim.rs
+++ b/tests/world/sim.rs
@@ -56,6 +56,8 @@
     SoakGoesOn,
     /// Workers of a zone that is stored as apart are answered all the same.
     AnswersApart,
+    /// A next leader does not see which machines are being emptied.
+    ForgetsDrains,
 }
 
 pub const NODES: usize = 3;
@@ -179,6 +181,8 @@
     Older(usize),
     /// The leader is asked to hand over.
     StepDown,
+    /// These machines are to be emptied; asked for until it is accepted.
+    Drain(Vec<String>),
 }
 
 #[derive(Debug)]
@@ -303,7 +307,23 @@
     Settings::parse(&text.to_string()).expect("good settings")
 }
 
+impl Worker {
+    /// A task with its image is here.
+    pub fn holds(&self) -> bool {
+        self.tasks.values().any(|t| t.phase.on_machine())
+    }
+}
+
 impl World {
+    /// The worker that waits for an answer.
+    pub fn asker(&self, request: RequestId) -> Option<String> {
+        let mut asked = self.asked.iter();
+        asked.find_map(|((_, _, asked), asker)| match asker {
+            Asker::Worker(name, _) if *asked == request => Some(name.clone()),
+            _ => None,
+        })
+    }
+
     pub fn new(seed: u64, sabotage: Sabotage) -> Self {
         Self::sized(SMALL, seed, sabotage)
     }
@@ -498,6 +518,7 @@
         let options = Options {
             licences: (seats > 0).then(|| Arc::new(licences)),
             rollout: self.roll.config.clone(),
+            maintenance: self.roll.maintenance.clone(),
             ..Options::default()
         };
         let mut config = Config::new(&settings, options);
@@ -544,6 +565,7 @@
     }
 
     fn output(&mut self, node: usize, epoch: u64, output: Output) {
+        self.look_at_output(&output);
         let delay = self.delay();
         let now = self.now;
         match output {
@@ -674,6 +696,7 @@
                 self.roll.most[node] = 1;
                 self.crash(node);
             }
+            Event::Drain(machines) => self.drain(machines),
             Event::StepDown => {
                 let node = self.leading();
                 self.roll.asked = Some(node);
@@ -855,6 +878,7 @@
             }
             CloudRequest::Release { machines } => {
                 for id in machines {
+                    self.look_at_return(&id);
                     self.booting.remove(&*id);
                     self.remove_worker(&id);
                 }
