--- /dev/null
+++ b/tests/unreadable.rs
@@ -0,0 +1,246 @@
+//! What a node does with records that it can't read: each was once taken for absent.
+
+use std::time::Duration;
+
+use kiteyard::{
+    core::{
+        Answer, Clock, Input, Node, Output,
+        config::{Config, Options},
+        job::JobId,
+        store::{
+            APART, Change, DRAINS, Entry, Event, GENERATION, LEADER, ORDERS, PROGRESS, ROSTER,
+            SETTLED, StateReply, StateRequest, TYPES,
+        },
+    },
+    settings::Settings,
+};
+use serde_json::value::RawValue;
+
+const SETTINGS: &str = r#"{
+  "label": "n0", "api_addr": "127.0.0.1:1", "cluster_listen": "127.0.0.1:2",
+  "known": [{"label": "n1", "peer_addr": "127.0.0.1:5"}],
+  "outside": {"cloud": "127.0.0.1:3", "state": "127.0.0.1:4"},
+  "params": {
+    "zones": ["a"], "teams": [{"name": "red"}],
+    "workers": {"report_s": 1.0, "lease_s": 10.0, "gang_wait_s": 30.0, "gang_peer_s": 5.0, "cancel_s": 30.0},
+    "state": {"rps": 80.0, "write_rps": 30.0, "value_kb": 16.0, "txn_ops": 16},
+    "cloud": {"rps": 8.0, "list_lag_s": 10.0},
+    "resources": {"sockets": 700}
+  }
+}"#;
+/// A form of some later build.
+const NEWER: &str = r#"{"form":9}"#;
+const TYPE: &str = r#"[{"name":"m","size":{"cpus":8.0,"gpus":0.0,"memory_gb":64.0},"cache_gb":5.0,
+  "fetch_gb_per_s":1.0,"price":1.0,"spot_price":0.4,"boot_s":30.0,"zones":["a"]}]"#;
+
+fn raw(text: &str) -> Box<RawValue> {
+    RawValue::from_string(text.to_owned()).expect("JSON")
+}
+
+fn entry(key: &str, text: &str) -> Entry {
+    Entry {
+        key: key.to_owned(),
+        value: raw(text),
+        version: 5,
+    }
+}
+
+/// A node, and a state service that answers whatever it is asked from a few keys.
+struct Bench {
+    node: Node,
+    now: u64,
+    /// Keys outside of those that are watched.
+    others: Vec<Entry>,
+    answers: Vec<(u64, Answer)>,
+    claims: usize,
+    gave_up: bool,
+}
+
+impl Bench {
+    fn new(mut live: Vec<Entry>, others: Vec<Entry>) -> Self {
+        if live.iter().all(|entry| entry.key != TYPES) {
+            live.push(entry(TYPES, TYPE));
+        }
+        let settings = Settings::parse(SETTINGS).expect("good settings");
+        let mut bench = Self {
+            node: Node::new(Config::new(&settings, Options::default())),
+            now: 0,
+            others,
+            answers: Vec::new(),
+            claims: 0,
+            gave_up: false,
+        };
+        bench.run(Input::Tick, &live);
+        for _ in 0..20 {
+            bench.run(Input::Tick, &live);
+        }
+        bench
+    }
+
+    fn run(&mut self, input: Input, live: &[Entry]) {
+        let mut inputs = vec![input];
+        while let Some(input) = inputs.pop() {
+            self.now += 20;
+            let clock = Clock {
+                now: Duration::from_millis(self.now),
+                wall_ms: self.now,
+            };
+            for output in self.node.step(clock, input) {
+                match output {
+                    Output::Answer { request, answer } => self.answers.push((request, answer)),
+                    Output::State { call, request, .. } => {
+                        if let Some(reply) = self.reply(&request, live) {
+                            inputs.insert(0, Input::State { call, reply });
+                        }
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    fn reply(&mut self, request: &StateRequest, live: &[Entry]) -> Option<StateReply> {
+        Some(match request {
+            StateRequest::List { prefix, .. } => {
+                let all = live.iter().chain(&self.others);
+                let own = all.filter(|e| e.key.starts_with(prefix.as_str()));
+                StateReply::Entries {
+                    entries: own.cloned().collect(),
+                    more: false,
+                    revision: 9,
+                }
+            }
+            StateRequest::Get { key } => {
+                let mut others = self.others.iter().chain(live);
+                match others.find(|e| e.key == *key) {
+                    Some(entry) => StateReply::Entry(entry.clone()),
+                    None => StateReply::Missing,
+                }
+            }
+            StateRequest::Txn { changes, .. } => {
+                for change in changes {
+                    match change {
+                        Change::Put { key, .. } if key == LEADER => self.claims += 1,
+                        Change::Delete { key } if key == LEADER => self.gave_up = true,
+                        _ => {}
+                    }
+                }
+                StateReply::Committed { revision: 9 }
+            }
+            StateRequest::Grant { .. } => StateReply::Granted { lease: 1 },
+            StateRequest::Renew { .. } => StateReply::Renewed,
+            StateRequest::Watch { wait, .. } if wait.is_zero() => StateReply::Events {
+                events: Vec::<Event>::new(),
+                revision: 9,
+            },
+            StateRequest::Watch { .. } => return None,
+        })
+    }
+
+    fn answer(&mut self, input: Input, live: &[Entry]) -> Answer {
+        let before = self.answers.len();
+        self.run(input, live);
+        for _ in 0..20 {
+            self.run(Input::Tick, live);
+        }
+        let answers = &self.answers[before..];
+        answers.first().expect("an answer").1.clone()
+    }
+
+    fn status(&mut self, id: &str) -> Answer {
+        let id = JobId::parse(id).expect("an id");
+        self.answer(Input::Status { request: 7, id }, &[])
+    }
+
+    fn ready(&mut self) -> bool {
+        self.answer(Input::Ready { request: 8 }, &[]) == Answer::Ready(true)
+    }
+}
+
+fn is_later(answer: &Answer) -> bool {
+    matches!(answer, Answer::Later { .. })
+}
+
+#[test]
+fn a_node_that_reads_everything_leads_and_answers() {
+    let mut bench = Bench::new(Vec::new(), Vec::new());
+    assert!(bench.claims > 0 && bench.ready());
+    assert_eq!(bench.status("run-000001"), Answer::NotFound);
+}
+
+/// Taken for absent, a leader key would have been claimed over, and a job forgotten.
+#[test]
+fn a_watched_key_that_cannot_be_read_keeps_the_node_from_leading() {
+    let keys = [
+        LEADER,
+        GENERATION,
+        ORDERS,
+        APART,
+        DRAINS,
+        SETTLED,
+        TYPES,
+        "live/job/run-000001",
+    ];
+    for key in keys {
+        let mut bench = Bench::new(vec![entry(key, NEWER)], Vec::new());
+        assert_eq!(bench.claims, 0, "{key}");
+        assert!(!bench.ready(), "{key}");
+    }
+    // Of a job that can't be read nothing is said, of others what is known.
+    let mut bench = Bench::new(vec![entry("live/job/run-000001", NEWER)], Vec::new());
+    assert!(is_later(&bench.status("run-000001")));
+    assert_eq!(bench.status("run-000002"), Answer::NotFound);
+    // Where the forms themselves are not known, nothing at all.
+    let mut bench = Bench::new(vec![entry(GENERATION, NEWER)], Vec::new());
+    assert!(is_later(&bench.status("run-000002")));
+    let later = r#"{"from":8,"to":9,"stage":"migrating"}"#;
+    let mut bench = Bench::new(vec![entry(GENERATION, later)], Vec::new());
+    assert!(is_later(&bench.status("run-000002")) && !bench.ready() && bench.claims == 0);
+}
+
+#[test]
+fn the_end_of_a_job_that_cannot_be_read_is_not_its_absence() {
+    let settled = r#"{"from":2,"to":2,"stage":"settled"}"#;
+    let over = r#"{"state":"done","done":3}"#;
+    let cases = [
+        (None, "final/run-000001", NEWER, true),
+        (
+            None,
+            "final/run-000001",
+            r#"{"state":"pending","done":0}"#,
+            true,
+        ),
+        (None, "final/run-000001", over, false),
+        (Some(settled), "ends/run-0000", r#""01x3""#, true),
+        (Some(settled), "ends/run-0000", r#""01d3,01d4""#, true),
+        (Some(settled), "ends/run-0000", r#""01d3,02c0""#, false),
+    ];
+    for (generation, key, value, later) in cases {
+        let live = generation.map(|text| entry(GENERATION, text));
+        let mut bench = Bench::new(live.into_iter().collect(), vec![entry(key, value)]);
+        let answer = bench.status("run-000001");
+        match later {
+            true => assert!(is_later(&answer), "{value}: {answer:?}"),
+            false => assert!(matches!(answer, Answer::Status(_, _, 3, 0)), "{answer:?}"),
+        }
+    }
+}
+
+/// A shard taken for no machines let tasks start that ran there.
+#[test]
+fn a_take_over_stops_at_a_record_that_cannot_be_read() {
+    let roster = format!("{ROSTER}0");
+    let progress = format!("{PROGRESS}run-000001/0");
+    let beyond = r#"{"kinds":[["m","a",false]],"jobs":[],"machines":[["vm-1",0,[0]]]}"#;
+    let cases = [
+        (&roster, NEWER),
+        (&roster, beyond),
+        (&progress, NEWER),
+        (&progress, r#""ff,zz""#),
+    ];
+    for (key, value) in cases {
+        let bench = Bench::new(Vec::new(), vec![entry(key, value)]);
+        assert!(bench.claims > 0, "{key}");
+        assert!(bench.gave_up && !bench.node.places(), "{key}: {value}");
+    }
+}
