An attempt is forgotten only once no answer with its start can be on its way

Cause: a start in a report's answer that was late by 0.9 s arrived after the worker had run, ended and forgotten the same attempt, sent straight to it meanwhile; it ran again. Change: a placement remembers the last report whose answer carried its start.

--- a/src/core/commands.rs
+++ b/src/core/commands.rs
@@ -183,7 +183,8 @@
                         }
                         _ => true,
                     };
-                    if stored {
+                    let settled = placement.offered == 0 || placement.offered < machine.report_seq;
+                    if stored && settled {
                         ends.push(Command::Forget { task, attempt });
                     }
                 }
@@ -194,6 +195,9 @@
                         Phase::Sent { seq, direct } => (seq, direct),
                         _ => (0, None),
                     };
+                    if let Some(seq) = seq {
+                        placement.offered = seq;
+                    }
                     placement.phase = match seq {
                         Some(seq) => Phase::Sent { seq, direct },
                         None => Phase::Sent {
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -651,6 +651,7 @@
                 running_since: None,
                 stop,
                 foreign: !ours,
+                offered: 0,
             },
         );
         if finished {
@@ -808,6 +809,7 @@
                 running_since: None,
                 stop: None,
                 foreign: false,
+                offered: 0,
             },
         );
     }
--- a/src/core/machine.rs
+++ b/src/core/machine.rs
@@ -155,6 +155,10 @@
     pub stop: Option<Stop>,
     /// The task is of a job that is over or unknown, or runs elsewhere.
     pub foreign: bool,
+    /// The last report whose answer carried its start; 0: none did. Until a later report
+    /// comes that answer may be on its way, whatever was seen of the task since, and a
+    /// start after the worker has forgotten the attempt would run it again.
+    pub offered: u64,
 }
 
 #[derive(Debug, Clone, Copy)]
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -1173,3 +1173,55 @@
     assert_eq!(standing(&mut c, 113), Standing::Up);
     assert_eq!(standing(&mut c, 115), Standing::Lost);
 }
+
+/// A start that went out with a report's answer may still be on its way when the task was
+/// seen to end by a direct question: told to forget the attempt, the worker would run it
+/// again. Found in the simulated world, where an answer was late by 0.9 s.
+#[test]
+fn an_attempt_is_not_forgotten_while_its_start_may_be_on_its_way() {
+    use kiteyard::core::machine::DirectReply;
+
+    let mut c = Cluster::new(8.0);
+    c.machine("vm-1");
+    let job = c.job(spec(1, Kind::Array, Priority::Normal, 1, 4.0));
+    c.pass();
+    let machine = c.leader.machines.get_mut("vm-1").expect("a machine");
+    machine.entry.jobs.insert(job.clone());
+    let starts = c.report("vm-1");
+    assert!(matches!(starts[..], [Command::Start { .. }]));
+    // Before that answer arrives, the same start is sent straight to the worker, and the
+    // task ends.
+    c.starts();
+    c.leader.remove_job(&job, c.now);
+    let machine = c.leader.machines.get_mut("vm-1").expect("a machine");
+    machine.token += 1;
+    let tasks = c.running.get_mut("vm-1").expect("a machine");
+    tasks[0].phase = TaskPhase::Exited(Why::Stopped { saved: false });
+    let direct = kiteyard::core::leader::Direct {
+        machine: Arc::from("vm-1"),
+        addr: "127.0.0.1:9".parse().expect("an address"),
+        token: c.leader.token,
+        session: 1,
+        commands: Vec::new(),
+    };
+    let report = c.report_under("vm-1", 1, c.leader.token);
+    let executed = DirectReply::Executed(report);
+    c.leader.direct_reply(&direct, executed, c.now);
+    let forgets = |commands: &[Command]| {
+        let mut commands = commands.iter();
+        commands.any(|command| matches!(command, Command::Forget { .. }))
+    };
+    // Something else has to be sent at once.
+    let other = c.job(spec(2, Kind::Array, Priority::Normal, 1, 4.0));
+    c.now += Duration::from_secs(1);
+    c.pass();
+    let machine = c.leader.machines.get_mut("vm-1").expect("a machine");
+    machine.entry.jobs.insert(other);
+    let straight = c.leader.direct_commands(c.now);
+    assert_eq!(straight.len(), 1);
+    assert!(!straight.iter().any(|direct| forgets(&direct.commands)));
+    // The next report shows that the worker has that answer, or never will.
+    let machine = c.leader.machines.get_mut("vm-1").expect("a machine");
+    machine.direct = false;
+    assert!(forgets(&c.report("vm-1")));
+}
