A line of a newer build between nodes is passed over, and the rest is heard

Need: it closed the connection, and with it went the pulses around it: a roll that adds a message would have looked like nodes that are away.

--- a/crates/ctl/tests/ctl.rs
+++ b/crates/ctl/tests/ctl.rs
@@ -148,3 +148,79 @@
     assert_eq!(code, Some(1));
     assert!(ctl(&["completions", "bash"]).1.contains("kiteyardctl"));
 }
+
+/// What the leader of two nodes tells of a rollout, with the other one here or away.
+fn rollout(here: bool) -> String {
+    let node = |name: &str, leads: bool, here: bool| {
+        serde_json::json!({"node": name, "zone": "a", "leads": leads, "here": here, "gone": false,
+            "build": "1", "least": 1, "most": 2, "features": ["packed-finals"]})
+    };
+    let status = serde_json::json!({"node": "n0", "enabled": true, "from": 1, "to": 2,
+        "stage": "soaking", "paused": false, "target": null, "gone": [],
+        "nodes": [node("n0", true, true), node("n1", false, here)],
+        "soaked_ms": 5000, "soak_ms": 60000, "held": "soaking", "migrated": 0, "left": null,
+        "estimate_s": 55.0, "refuses": null, "clear": true});
+    answer("200 OK", &status.to_string())
+}
+
+#[test]
+fn operators_are_told_what_holds_a_rollout_and_which_node_is_next() {
+    let ask = |here: bool, args: &[&str]| {
+        let (addr, served) = node(vec![rollout(here)]);
+        let addr = addr.to_string();
+        let all = [&["--node", &addr, "rollout"], args].concat();
+        let told = ctl(&all);
+        served.join().expect("served");
+        told
+    };
+    let (code, out, _) = ask(true, &["status"]);
+    assert_eq!(code, Some(0));
+    for line in [
+        "1 to 2, soaking",
+        "held by: soaking",
+        "5 s of 60 s",
+        "about 55 s",
+    ] {
+        assert!(out.contains(line), "{line}: {out}");
+    }
+    let (code, out, _) = ask(true, &["next", "--build", "2"]);
+    assert_eq!((code, out.trim()), (Some(0), "n1"));
+    let (code, _, error) = ask(false, &["next", "--build", "2"]);
+    assert_eq!(code, Some(3));
+    assert!(error.contains("n1 is away"), "{error}");
+    let (code, out, _) = ask(true, &["plan", "--build", "2"]);
+    assert_eq!(code, Some(0));
+    assert!(
+        out.starts_with("1. restart n1") && out.contains("step n0 down"),
+        "{out}"
+    );
+
+    // An order that can't be carried out.
+    let refusal = r#"{"error":"no node n9, there are: n0, n1"}"#;
+    let (addr, served) = node(vec![answer("422 Unprocessable Entity", refusal)]);
+    let (code, _, error) = ctl(&["--node", &addr.to_string(), "rollout", "forget", "n9"]);
+    assert_eq!(code, Some(2));
+    assert!(
+        error.contains("n9") && error.lines().count() == 1,
+        "{error}"
+    );
+    let asked = served.join().expect("served");
+    assert_eq!(asked, ["POST /rollout/forget/n9 HTTP/1.1"]);
+}
+
+#[test]
+fn machines_are_emptied_by_name() {
+    let body = r#"{"machines":[{"machine":"vm-1","zone":"a","state":"draining","replicas":1,
+        "array_tasks":4,"gang_tasks":0,"waits":"ending","by_ms":null}]}"#;
+    let (addr, served) = node(vec![answer("200 OK", body)]);
+    let addr = addr.to_string();
+    let (code, out, _) = ctl(&["--node", &addr, "drain", "start", "vm-1", "--by-s", "60"]);
+    assert_eq!(code, Some(0));
+    assert!(out.contains("vm-1") && out.contains("ending"), "{out}");
+    assert_eq!(
+        served.join().expect("served"),
+        ["POST /drains/start HTTP/1.1"]
+    );
+    let (code, _, error) = ctl(&["--node", &addr, "drain", "start"]);
+    assert_eq!((code, error.lines().count()), (Some(2), 1), "{error}");
+}
--- a/src/io/peer.rs
+++ b/src/io/peer.rs
@@ -10,6 +10,7 @@
     sync::mpsc::{Receiver, Sender, UnboundedSender, channel},
     time::{sleep, timeout},
 };
+use tracing::info;
 
 use crate::{
     core::{Input, relay::PeerMessage},
@@ -109,9 +110,16 @@
     }
 }
 
+/// A line of which only the sender is understood.
+#[derive(serde::Deserialize)]
+struct Unknown {
+    from: String,
+}
+
 async fn read_lines(stream: TcpStream, inputs: UnboundedSender<Input>) {
     let mut reader = BufReader::new(stream);
     let mut text = Vec::new();
+    let mut told = false;
     loop {
         text.clear();
         let mut limited = (&mut reader).take(LINE_MOST);
@@ -120,7 +128,17 @@
             _ => return,
         }
         let Ok(line) = serde_json::from_slice::<Line>(&text) else {
-            return;
+            // A newer build may say what this one does not know: the rest of what it says
+            // is still heard. What is no JSON comes from something else.
+            match serde_json::from_slice::<Unknown>(&text) {
+                Ok(unknown) if !told => {
+                    told = true;
+                    info!(from = %unknown.from, "a line of another build, passed over");
+                }
+                Ok(_) => {}
+                Err(_) => return,
+            }
+            continue;
         };
         let input = Input::Peer {
             from: line.from,
