--- a/tests/world/rolling.rs
+++ b/tests/world/rolling.rs
@@ -348,3 +348,21 @@
         world.with(37 * S + 200, Case::LeaderEnds, Duration::ZERO)
     });
 }
+
+/// Whatever else happens: all the troubles of the small world while the nodes are rolled
+/// forth, and back again.
+#[test]
+fn rules_hold_in_a_roll_under_mixed_troubles() {
+    for seed in seeds(8) {
+        let mut world = World::sized(SMALL, 5000 + seed, Sabotage::None).rolling("4");
+        for (turn, node) in ORDERS[seed as usize % ORDERS.len()].into_iter().enumerate() {
+            world = world.upgrade(20 * S + 6 * S * turn as u64, node, 4);
+        }
+        let mut world = world.ordered(100 * S, Order::Target(1));
+        world.roll.held_back = Some(Duration::from_secs(25));
+        world.run();
+        let what = format!("seed {seed}: {:?}", world.roll.seen);
+        assert_eq!(world.observer.broken(), Vec::<String>::new(), "{what}");
+        assert!(world.observer.finished > 3, "{what}: finished too little");
+    }
+}
--- a/tests/world/sim.rs
+++ b/tests/world/sim.rs
@@ -308,6 +308,10 @@
 }
 
 impl Worker {
+    pub fn answered_lately(&self, now: Duration) -> bool {
+        now < self.lease_from + ms(1500)
+    }
+
     /// A task with its image is here.
     pub fn holds(&self) -> bool {
         self.tasks.values().any(|t| t.phase.on_machine())
