A zone that may have been listed as apart stays withheld until a write is known to be in

Cause, found on reading the change again: a refused write, or a term that ran out in an outage, forgot that an earlier write was not answered. Applied late, it would have promised what was no longer kept. Change: only a committed write, or the end of the claim, settles it.

--- a/src/core/apart.rs
+++ b/src/core/apart.rs
@@ -182,9 +182,13 @@
             self.apart.counting_since.get_or_insert(now);
         }
         self.pump_waiting();
-        if !self.leads() {
+        if self.claim().is_none() {
+            // A write of that claim that comes late fails. While the claim may stand again,
+            // as after an outage, one that was not answered may still be done.
             self.apart.unsure.clear();
             self.apart.heard.clear();
+        }
+        if !self.leads() {
             return;
         }
         let listed = &self.mirror.apart.0.zones;
@@ -271,24 +275,19 @@
         if self.claim() != Some(claim) {
             return;
         }
-        match reply {
-            StateReply::Committed { revision } => {
-                let before = &self.mirror.apart.0.zones;
-                let removed = before.keys().any(|zone| !record.zones.contains_key(zone));
-                if removed {
-                    self.apart.retry = now + RESTS;
-                }
-                self.apart.heard.clear();
-                self.apart.unsure.clear();
-                if *revision > self.mirror.apart.1 {
-                    self.mirror.apart = (record, *revision);
-                }
+        // A write that was refused changes nothing, but one before it may not have been
+        // answered: only one that is known to be in settles both.
+        if let StateReply::Committed { revision } = reply {
+            let before = &self.mirror.apart.0.zones;
+            let removed = before.keys().any(|zone| !record.zones.contains_key(zone));
+            if removed {
+                self.apart.retry = now + RESTS;
             }
-            // It changed nothing and never will.
-            StateReply::Refused { .. } => {
-                self.apart.unsure.clear();
+            self.apart.heard.clear();
+            self.apart.unsure.clear();
+            if *revision > self.mirror.apart.1 {
+                self.mirror.apart = (record, *revision);
             }
-            _ => {}
         }
     }
 
