--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -55,6 +55,26 @@
         }
     }
 
+    /// What each node answers to one question, in the order of the nodes; none where it
+    /// did not.
+    pub async fn ask_each(&self, path: &str) -> Vec<Option<Answer>> {
+        let mut answers = Vec::new();
+        for node in 0..self.nodes.len() {
+            let tried = self.once(node, &Method::GET, path, None).await;
+            answers.push(tried.map(|(status, _, body)| Answer { status, body }));
+        }
+        answers
+    }
+
+    /// The same request to one node alone, tried again while there is time.
+    pub fn only(&self, node: usize) -> Self {
+        Self {
+            http: self.http.clone(),
+            nodes: self.nodes.get(node).copied().into_iter().collect(),
+            within: self.within,
+        }
+    }
+
     /// None where no node gave a final answer in time.
     pub async fn ask(&self, method: Method, path: &str, body: Option<&Value>) -> Option<Answer> {
         let first = Instant::now();
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,5 +1,7 @@
 //! `kiteyardctl`: submits jobs, follows them and cancels them.
 
+mod rollout;
+
 use std::{
     collections::BTreeMap, io::IsTerminal, net::SocketAddr, path::PathBuf, process::ExitCode,
     time::Duration,
@@ -63,6 +65,9 @@
     Cancel { job: String },
     /// Show licences: seats, in use, waiting, by team
     Licences,
+    /// Roll out a change of the stored state, node by node
+    #[command(subcommand)]
+    Rollout(rollout::Command),
     /// Print a completion script for a shell
     Completions { shell: Shell },
 }
@@ -148,6 +153,7 @@
         }
         Command::Wait { job } => wait(cli, &client, job).await,
         Command::Licences => licences(cli, &client).await,
+        Command::Rollout(command) => rollout::run(cli, &client, command).await,
         Command::Completions { .. } => ExitCode::SUCCESS,
     }
 }
--- /dev/null
+++ b/crates/rollout/src/config.rs
@@ -0,0 +1,93 @@
+//! The operators' file: how long is soaked, how fast old records are rewritten, and what
+//! is held back.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use serde::Deserialize;
+
+use crate::generation::{Feature, Generation, OLDEST};
+
+#[derive(Debug, thiserror::Error, PartialEq)]
+pub enum ConfigError {
+    /// Not a file of this form; the message names the line.
+    #[error("rollout: {0}")]
+    Form(String),
+    #[error("rollout: `{field}`: {message}")]
+    Field {
+        field: &'static str,
+        message: String,
+    },
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub struct Config {
+    /// How long all nodes must have been seen able to a generation before it is written.
+    pub soak: Duration,
+    /// The part of the state service's changes that rewriting old records may take.
+    pub share: f64,
+    /// Features that are not switched on.
+    pub hold: BTreeSet<String>,
+    /// Whether the newest generation is moved to without being asked for.
+    pub automatic: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct File {
+    soak_s: f64,
+    #[serde(default = "share")]
+    migration_share: f64,
+    #[serde(default)]
+    hold: BTreeSet<String>,
+    #[serde(default = "automatic")]
+    automatic: bool,
+}
+
+fn share() -> f64 {
+    0.1
+}
+
+fn automatic() -> bool {
+    true
+}
+
+const SOAK_MOST: f64 = 30.0 * 86_400.0;
+
+impl Config {
+    /// Reads the file; `features` are those that this build knows.
+    pub fn parse(text: &str, features: &[Feature]) -> Result<Self, ConfigError> {
+        let file: File = toml::from_str(text).map_err(|error| {
+            let before = |at: usize| text[..at.min(text.len())].matches('\n').count() + 1;
+            let line = error.span().map(|span| before(span.start));
+            let at = line.map_or(String::new(), |line| format!("line {line}: "));
+            ConfigError::Form(format!("{at}{}", error.message().replace('\n', " ")))
+        })?;
+        let fail = |field, message: String| Err(ConfigError::Field { field, message });
+        if !(0.0..=SOAK_MOST).contains(&file.soak_s) {
+            return fail("soak_s", format!("must be 0 to {SOAK_MOST} seconds"));
+        }
+        if !(0.0..=0.5).contains(&file.migration_share) {
+            return fail("migration_share", "must be 0 to 0.5".into());
+        }
+        let known = |name: &String| features.iter().any(|f| f.name == name);
+        if let Some(name) = file.hold.iter().find(|name| !known(name)) {
+            let names: Vec<&str> = features.iter().map(|f| f.name).collect();
+            let message = format!("no feature {name}, there is: {}", names.join(", "));
+            return fail("hold", message);
+        }
+        Ok(Self {
+            soak: Duration::from_secs_f64(file.soak_s),
+            share: file.migration_share,
+            hold: file.hold,
+            automatic: file.automatic,
+        })
+    }
+
+    /// The newest generation that may be moved to: below the first one held back.
+    pub fn newest(&self, features: &[Feature]) -> Generation {
+        let held = features.iter().filter(|f| self.hold.contains(f.name));
+        let below = held.map(|f| f.since - 1).min().unwrap_or(Generation::MAX);
+        let newest = features.iter().map(|f| f.since).max().unwrap_or(OLDEST);
+        newest.min(below).max(OLDEST)
+    }
+}
--- /dev/null
+++ b/crates/rollout/tests/exhaustive.rs
@@ -0,0 +1,374 @@
+//! Every state that three nodes, two generations, late writes and restarts can get into,
+//! with one job's end as the record that changes its form.
+
+use std::{
+    collections::{BTreeMap, HashSet},
+    time::Duration,
+};
+
+use kiteyard_rollout::{
+    config::Config,
+    generation::{Ability, Cluster, Feature, Generation, Orders},
+    machine::{Machine, Output, Seen, Told, View},
+};
+
+const FEATURES: &[Feature] = &[Feature {
+    name: "second",
+    since: 2,
+    way_back: true,
+    forms: &[],
+}];
+const NODES: usize = 3;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+struct Process {
+    most: Generation,
+    /// The revision of its own record; 0: it has not stored it yet.
+    started: u8,
+    /// The revision of the cluster's record that it knows, and what that says.
+    knows: (u8, Cell),
+}
+
+/// A cluster record that can be hashed.
+type Cell = (Generation, Generation, u8);
+
+fn cell(cluster: Cluster) -> Cell {
+    (cluster.from, cluster.to, cluster.stage as u8)
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+enum Write {
+    Step {
+        next: Cell,
+        if_cluster: u8,
+        if_nodes: Vec<(usize, u8)>,
+    },
+    /// The job ends: its end is stored in a form, on condition that it is live.
+    End { form: Generation, if_cluster: u8 },
+    /// The job is submitted again: taken where no end is found in these forms.
+    Accept {
+        absent: Vec<Generation>,
+        if_cluster: u8,
+    },
+    /// Its end is rewritten.
+    Move {
+        from: Generation,
+        to: Generation,
+        if_cluster: u8,
+    },
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct State {
+    cluster: (u8, Cell),
+    /// Each node's record: its ability and revision.
+    records: [(Generation, u8); NODES],
+    processes: [Process; NODES],
+    /// The form that the end is stored in.
+    end: Option<Generation>,
+    /// Writes on their way.
+    late: Vec<Write>,
+    restarts: u8,
+    orders: bool,
+}
+
+/// Ways to make it unsafe.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Fault {
+    None,
+    /// Writes do not depend on the cluster's record.
+    Unconditional,
+    /// While records move, only the new form is looked for.
+    NewOnly,
+    /// Settled before anything was looked for.
+    NeverClean,
+}
+
+fn cluster(cell: Cell) -> Cluster {
+    use kiteyard_rollout::generation::Stage::*;
+    let stage = [Settled, Prepared, Soaking, Active, Migrating][cell.2 as usize];
+    Cluster {
+        from: cell.0,
+        to: cell.1,
+        stage,
+    }
+}
+
+fn ability(most: Generation) -> Ability {
+    Ability {
+        build: String::new(),
+        least: 1,
+        most,
+        features: Vec::new(),
+    }
+}
+
+fn reads(of: Cell, fault: Fault) -> Vec<Generation> {
+    let cluster = cluster(of);
+    match fault {
+        Fault::NewOnly if cluster.mixed() => vec![cluster.to],
+        _ => cluster.read().collect(),
+    }
+}
+
+/// Writes that wait on their way at a time, restarts in all, and steps of the cluster.
+const LATE: usize = 1;
+const RESTARTS: u8 = 1;
+const STEPS: u8 = 10;
+
+impl State {
+    fn first() -> Self {
+        let process = |started| Process {
+            most: 2,
+            started,
+            knows: (0, cell(Cluster::default())),
+        };
+        Self {
+            cluster: (0, cell(Cluster::default())),
+            records: [(2, 1), (2, 2), (2, 3)],
+            processes: [process(1), process(2), process(3)],
+            end: None,
+            late: Vec::new(),
+            restarts: 0,
+            orders: false,
+        }
+    }
+
+    fn suits(&self, node: usize, of: Cell) -> bool {
+        cluster(of).suits(&ability(self.processes[node].most))
+    }
+
+    /// What the machine decides where `node` leads, with what it sees.
+    fn steps(&self, node: usize, fault: Fault) -> Vec<Write> {
+        let leader = &self.processes[node];
+        let clean = fault == Fault::NeverClean || self.end != Some(cluster(leader.knows.1).from);
+        let seen = |n: usize| {
+            let (most, started) = self.records[n];
+            let process = &self.processes[n];
+            let seen = Seen {
+                ability: Some(ability(most)),
+                started: started.into(),
+                told: (process.started > 0).then_some(Told {
+                    started: process.started.into(),
+                    knows: process.knows.0.into(),
+                }),
+            };
+            (format!("{n}"), seen)
+        };
+        let orders = Orders {
+            target: self.orders.then_some(1),
+            ..Orders::default()
+        };
+        let view = View {
+            cluster: cluster(leader.knows.1),
+            revision: leader.knows.0.into(),
+            orders,
+            nodes: (0..NODES).map(seen).collect::<BTreeMap<_, _>>(),
+            clean,
+        };
+        let config = Config::parse("soak_s = 0", FEATURES).expect("a good file");
+        let mut machine = Machine::new(config, FEATURES);
+        let step = |output| match output {
+            Output::Store { cluster, nodes, .. } => Some(Write::Step {
+                next: cell(cluster),
+                if_cluster: leader.knows.0,
+                if_nodes: nodes
+                    .into_iter()
+                    .map(|(node, at)| (node.parse().expect("a number"), at as u8))
+                    .collect(),
+            }),
+            _ => None,
+        };
+        let outputs = machine.step(Duration::ZERO, &view);
+        outputs.into_iter().filter_map(step).collect()
+    }
+
+    /// What a process may send off by what it knows.
+    fn writes(&self, node: usize, fault: Fault) -> Vec<Write> {
+        let knows = self.processes[node].knows;
+        if !self.suits(node, knows.1) {
+            return Vec::new();
+        }
+        let known = cluster(knows.1);
+        let mut writes = self.steps(node, fault);
+        writes.push(Write::End {
+            form: known.written(),
+            if_cluster: knows.0,
+        });
+        writes.push(Write::Accept {
+            absent: reads(knows.1, fault),
+            if_cluster: knows.0,
+        });
+        if known.mixed() {
+            writes.push(Write::Move {
+                from: known.from,
+                to: known.to,
+                if_cluster: knows.0,
+            });
+        }
+        writes
+    }
+
+    /// Applies a write, if its conditions hold; says what it broke.
+    fn apply(&mut self, write: &Write, fault: Fault) -> Option<&'static str> {
+        let stands = |at: u8| fault == Fault::Unconditional || at == self.cluster.0;
+        match write {
+            Write::Step {
+                next,
+                if_cluster,
+                if_nodes,
+            } => {
+                let nodes = if_nodes
+                    .iter()
+                    .all(|(node, at)| self.records[*node].1 == *at);
+                if *if_cluster == self.cluster.0 && nodes {
+                    self.cluster = (self.cluster.0 + 1, *next);
+                }
+            }
+            Write::End { form, if_cluster } if stands(*if_cluster) => {
+                self.end.get_or_insert(*form);
+            }
+            Write::Accept { absent, if_cluster } => {
+                let elsewhere = |form| !absent.contains(&form);
+                if stands(*if_cluster) && self.end.is_some_and(elsewhere) {
+                    return Some("a job that is over was accepted again");
+                }
+            }
+            Write::Move {
+                from,
+                to,
+                if_cluster,
+            } => {
+                if stands(*if_cluster) && self.end == Some(*from) {
+                    self.end = Some(*to);
+                }
+            }
+            _ => {}
+        }
+        None
+    }
+
+    fn broken(&self, fault: Fault) -> Option<&'static str> {
+        let end = self.end?;
+        for (node, process) in self.processes.iter().enumerate() {
+            // An answer is given only from what is known to stand now.
+            let answers = process.knows.0 == self.cluster.0 && self.suits(node, process.knows.1);
+            if answers && !reads(process.knows.1, fault).contains(&end) {
+                return Some("the end of a job is looked for where it is not");
+            }
+            if answers && end > process.most {
+                return Some("a process answers that can't read the end");
+            }
+        }
+        None
+    }
+
+    fn next(&self, fault: Fault) -> Vec<Result<State, &'static str>> {
+        let mut all = Vec::new();
+        for node in 0..NODES {
+            let mut state = self.clone();
+            state.processes[node].knows = self.cluster;
+            all.push(Ok(state));
+            // Stored late as well: only where nothing else was stored since it was read.
+            if self.processes[node].started == 0 {
+                let mut state = self.clone();
+                let at = self.records.iter().map(|(_, at)| at).max().unwrap_or(&0) + 1;
+                state.records[node] = (self.processes[node].most, at);
+                state.processes[node].started = at;
+                all.push(Ok(state));
+            }
+            for most in [1, 2] {
+                if self.restarts < RESTARTS {
+                    let mut state = self.clone();
+                    state.restarts += 1;
+                    // It reads everything before it does anything.
+                    state.processes[node] = Process {
+                        most,
+                        started: 0,
+                        knows: self.cluster,
+                    };
+                    all.push(Ok(state));
+                }
+            }
+            for write in self.writes(node, fault) {
+                if self.cluster.0 >= STEPS && matches!(write, Write::Step { .. }) {
+                    continue;
+                }
+                let mut at_once = self.clone();
+                all.push(match at_once.apply(&write, fault) {
+                    Some(broken) => Err(broken),
+                    None => Ok(at_once),
+                });
+                if self.late.len() < LATE && !self.late.contains(&write) {
+                    let mut state = self.clone();
+                    state.late.push(write.clone());
+                    state.late.sort_by_key(|write| format!("{write:?}"));
+                    all.push(Ok(state));
+                }
+            }
+        }
+        for at in 0..self.late.len() {
+            let mut state = self.clone();
+            let write = state.late.remove(at);
+            all.push(match state.apply(&write, fault) {
+                Some(broken) => Err(broken),
+                None => Ok(state),
+            });
+        }
+        if !self.orders {
+            let mut state = self.clone();
+            state.orders = true;
+            all.push(Ok(state));
+        }
+        all
+    }
+}
+
+/// Walks through the states; how many there were, whether both ends of the way were
+/// reached, and what was broken.
+fn walk(fault: Fault, most: usize) -> (usize, bool, Option<&'static str>) {
+    let mut seen = HashSet::from([State::first()]);
+    let mut queue = std::collections::VecDeque::from([State::first()]);
+    let (mut forth, mut back) = (false, false);
+    while let Some(state) = queue.pop_front() {
+        if let Some(broken) = state.broken(fault) {
+            return (seen.len(), forth && back, Some(broken));
+        }
+        forth |= state.cluster.1 == cell(Cluster::settled(2)) && state.end == Some(2);
+        back |= state.cluster.0 > 5 && state.cluster.1 == cell(Cluster::settled(1));
+        for next in state.next(fault) {
+            match next {
+                Err(broken) => return (seen.len(), forth && back, Some(broken)),
+                Ok(next) if seen.len() < most && !seen.contains(&next) => {
+                    seen.insert(next.clone());
+                    queue.push_back(next);
+                }
+                Ok(_) => {}
+            }
+        }
+    }
+    (seen.len(), forth && back, None)
+}
+
+#[test]
+fn no_order_of_late_writes_and_restarts_loses_the_end_of_a_job() {
+    let (states, both, broken) = walk(Fault::None, 4_000_000);
+    assert_eq!(broken, None);
+    println!("{states} states, settled forth and back: {both}");
+    assert!(states >= 100, "{states} states");
+}
+
+#[test]
+fn faults_that_are_planted_are_found() {
+    for fault in [Fault::Unconditional, Fault::NewOnly, Fault::NeverClean] {
+        let (states, _, broken) = walk(fault, 2_000_000);
+        assert!(
+            broken.is_some(),
+            "{fault:?} was not found in {states} states"
+        );
+        println!(
+            "{fault:?}: {} after {states} states",
+            broken.unwrap_or_default()
+        );
+    }
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,10 +1,16 @@
 //! Command-line flags and variables of the program.
 
-use std::{path::PathBuf, sync::Arc};
+use std::{
+    path::{Path, PathBuf},
+    sync::Arc,
+};
 
 use clap::Parser;
 
-use crate::{core::config::Options, settings};
+use crate::{
+    core::{config::Options, finals::FEATURES},
+    settings,
+};
 
 /// A cluster scheduler with priorities, preemption and nominations.
 #[derive(Debug, Parser)]
@@ -18,7 +24,11 @@
     #[arg(long, value_name = "FILE")]
     pub licences: Option<PathBuf>,
 
-    /// Check the settings file, and the licences, and exit
+    /// Roll out changes of the stored state (TOML); without it, none is switched on
+    #[arg(long, value_name = "FILE")]
+    pub rollout: Option<PathBuf>,
+
+    /// Check the settings file, and the other files given, and exit
     #[arg(long)]
     pub check: bool,
 
@@ -58,22 +68,36 @@
     }
 }
 
+/// A file of the operators', if one is named, or what is wrong with it.
+fn checked<T, E: std::fmt::Display>(
+    path: Option<&Path>,
+    what: &str,
+    parse: impl Fn(&str) -> Result<T, E>,
+) -> Result<Option<Arc<T>>, String> {
+    let Some(path) = path else { return Ok(None) };
+    let text = std::fs::read_to_string(path)
+        .map_err(|error| format!("cannot read {what} {}: {error}", path.display()))?;
+    let config = parse(&text).map_err(|error| format!("{}: {error}", path.display()))?;
+    Ok(Some(Arc::new(config)))
+}
+
 impl Cli {
     /// The licences, or what is wrong with their file.
     pub fn licences(&self) -> Result<Option<Arc<kiteyard_licences::config::Config>>, String> {
-        let Some(path) = &self.licences else {
-            return Ok(None);
-        };
-        let text = std::fs::read_to_string(path)
-            .map_err(|error| format!("cannot read licences {}: {error}", path.display()))?;
-        let config = kiteyard_licences::config::Config::parse(&text)
-            .map_err(|error| format!("{}: {error}", path.display()))?;
-        Ok(Some(Arc::new(config)))
+        let parse = kiteyard_licences::config::Config::parse;
+        checked(self.licences.as_deref(), "licences", parse)
+    }
+
+    /// How changes of the stored state are rolled out, or what is wrong with the file.
+    pub fn rollout(&self) -> Result<Option<Arc<kiteyard_rollout::config::Config>>, String> {
+        let parse = |text: &str| kiteyard_rollout::config::Config::parse(text, FEATURES);
+        checked(self.rollout.as_deref(), "rollout", parse)
     }
 
     pub fn options(&self) -> Options {
         Options {
             licences: None,
+            rollout: None,
             idle_boots: self.idle_boots,
             grace: settings::seconds(self.grace_s),
             disruption_budget: self.disruption_budget,
--- a/src/core/config.rs
+++ b/src/core/config.rs
@@ -1,6 +1,12 @@
 //! What the core needs of the settings, in its own terms.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+    time::Duration,
+};
+
+use kiteyard_rollout::generation::Ability;
 
 use crate::settings::{Settings, Team, seconds};
 
@@ -24,6 +30,8 @@
     pub disruption_budget: u32,
     /// Licences with counted seats, if there are any.
     pub licences: Option<Arc<kiteyard_licences::config::Config>>,
+    /// How changes of the stored state are rolled out, if they are.
+    pub rollout: Option<Arc<kiteyard_rollout::config::Config>>,
 }
 
 impl Default for Options {
@@ -33,6 +41,7 @@
             grace: Duration::from_secs(10),
             disruption_budget: 1,
             licences: None,
+            rollout: None,
         }
     }
 }
@@ -42,6 +51,10 @@
     pub node: String,
     pub nodes: usize,
     pub peers: Vec<String>,
+    /// Where the nodes are.
+    pub zones: BTreeMap<String, String>,
+    /// The stored forms that this process reads and writes.
+    pub ability: Ability,
     pub teams: HashMap<Arc<str>, Team>,
     pub objectives: Vec<crate::settings::Objective>,
     pub report: Duration,
@@ -91,6 +104,13 @@
             node: settings.node.clone(),
             nodes,
             peers: settings.peers.iter().map(|p| p.node.clone()).collect(),
+            zones: settings
+                .peers
+                .iter()
+                .map(|p| (p.node.clone(), p.zone.clone()))
+                .chain([(settings.node.clone(), settings.zone.clone())])
+                .collect(),
+            ability: super::rollout::ability(),
             teams: params
                 .teams
                 .iter()
--- /dev/null
+++ b/src/core/finals.rs
@@ -0,0 +1,354 @@
+//! Ends of jobs in the state service: where they are stored, and in which form.
+//!
+//! Generation 1 keeps one key a job. From generation 2 on, one key keeps the ends of all
+//! jobs whose ids differ in the last two digits only. Either way an end is found with one
+//! read while nothing moves. While records are being rewritten it is in one of two places,
+//! never in both and never in none, and is looked for where it moves from first.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
+
+use kiteyard_rollout::generation::{Cluster, Feature, Generation};
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
+
+use super::{
+    job::{FinalRecord, JobId, JobState},
+    store::{Change, Condition, ENDS, FINALS, delete, final_key, put, when},
+};
+
+pub const PACKED_FINALS: Feature = Feature {
+    name: "packed-finals",
+    since: 2,
+    way_back: true,
+    forms: &["ends/RANGE", "live/generation", "pulse.told"],
+};
+
+/// All changes of the stored state that this build knows.
+pub const FEATURES: &[Feature] = &[PACKED_FINALS];
+
+/// Where the end of a job may be stored.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Place {
+    Alone,
+    Packed,
+}
+
+pub fn place(generation: Generation) -> Place {
+    match generation >= PACKED_FINALS.since {
+        true => Place::Packed,
+        false => Place::Alone,
+    }
+}
+
+/// Where to look, in this order: a record that is rewritten meanwhile is met.
+pub fn places(cluster: &Cluster) -> Vec<Place> {
+    let mut places: Vec<Place> = cluster.read().map(place).collect();
+    places.dedup();
+    places
+}
+
+/// A range of ids: all that are alike but for the last two digits.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Range(String);
+
+/// Digits that ids of one range differ in.
+const DIGITS: usize = 2;
+
+impl Range {
+    /// The range of an id, and its name there.
+    pub fn of(id: &JobId) -> (Self, &str) {
+        let text = id.as_str();
+        let digits = text.len() - text.find(|c: char| c.is_ascii_digit()).unwrap_or(0);
+        let at = text.len() - digits.min(DIGITS);
+        (Self(text[..at].to_owned()), &text[at..])
+    }
+
+    pub fn of_key(key: &str) -> Option<Self> {
+        let range = key.strip_prefix(ENDS)?;
+        // Any id in it would do.
+        let id = JobId::parse(&format!("{range}00"))?;
+        (Self::of(&id).0.0 == range).then(|| Self(range.to_owned()))
+    }
+
+    pub fn key(&self) -> String {
+        format!("{ENDS}{}", self.0)
+    }
+
+    pub fn id(&self, name: &str) -> Option<JobId> {
+        JobId::parse(&format!("{}{name}", self.0))
+    }
+}
+
+/// The ends of the jobs of one range. Stored as text, an entry a job, in order:
+/// `07c3,12d400` says that the job that ends in 07 was cancelled with 3 tasks done, and
+/// the one in 12 is done with 400.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Ends(BTreeMap<String, FinalRecord>);
+
+impl Ends {
+    pub fn get(&self, name: &str) -> Option<FinalRecord> {
+        self.0.get(name).copied()
+    }
+
+    pub fn insert(&mut self, name: &str, record: FinalRecord) {
+        self.0.insert(name.to_owned(), record);
+    }
+
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Takes some of them out.
+    pub fn split_off(&mut self, count: usize) -> Vec<(String, FinalRecord)> {
+        let mut taken = Vec::new();
+        while taken.len() < count
+            && let Some(entry) = self.0.pop_first()
+        {
+            taken.push(entry);
+        }
+        taken
+    }
+
+    fn encode(&self) -> String {
+        let entry = |(name, record): (&String, &FinalRecord)| {
+            let letter = match record.state {
+                JobState::Cancelled => 'c',
+                _ => 'd',
+            };
+            format!("{name}{letter}{}", record.done)
+        };
+        self.0.iter().map(entry).collect::<Vec<_>>().join(",")
+    }
+
+    /// Nothing is passed over: an entry that can't be read makes the whole unreadable.
+    fn decode(text: &str) -> Option<Self> {
+        let mut ends = Self::default();
+        for entry in text.split(',').filter(|_| !text.is_empty()) {
+            let at = entry.find(|c: char| !c.is_ascii_digit())?;
+            let (name, rest) = entry.split_at(at);
+            let state = match rest.chars().next()? {
+                'c' => JobState::Cancelled,
+                'd' => JobState::Done,
+                _ => return None,
+            };
+            let digits = &rest[1..];
+            let plain = digits.bytes().all(|b| b.is_ascii_digit());
+            if !(1..=DIGITS).contains(&name.len()) || !plain {
+                return None;
+            }
+            let done = digits.parse().ok()?;
+            if ends
+                .0
+                .insert(name.to_owned(), FinalRecord { state, done })
+                .is_some()
+            {
+                return None;
+            }
+        }
+        Some(ends)
+    }
+}
+
+impl Serialize for Ends {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str(&self.encode())
+    }
+}
+
+impl<'de> Deserialize<'de> for Ends {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        Self::decode(&text).ok_or_else(|| de::Error::custom("not the ends of a range of jobs"))
+    }
+}
+
+/// The end of one job by itself, as stored.
+pub fn parse_alone(text: &str) -> Option<FinalRecord> {
+    let record: FinalRecord = serde_json::from_str(text).ok()?;
+    let over = matches!(record.state, JobState::Done | JobState::Cancelled);
+    over.then_some(record)
+}
+
+/// The id that a key of its own speaks of.
+pub fn alone_id(key: &str) -> Option<JobId> {
+    JobId::parse(key.strip_prefix(FINALS)?)
+}
+
+/// A range as it was read or written last; version 0: there is none.
+#[derive(Debug, Clone, Default)]
+pub struct Known {
+    pub version: u64,
+    pub ends: Ends,
+}
+
+/// Ranges that this node has seen. What is written from here depends on the version, so
+/// one that has changed since costs a conflict and nothing else.
+#[derive(Debug, Default)]
+pub struct Ranges {
+    known: HashMap<Range, Known>,
+    /// Ranges that the leader reads or writes now, and when each may be written again.
+    busy: HashMap<Range, Option<Duration>>,
+}
+
+const KNOWN_MOST: usize = 256;
+
+impl Ranges {
+    pub fn get(&self, range: &Range) -> Option<&Known> {
+        self.known.get(range)
+    }
+
+    pub fn learn(&mut self, range: Range, known: Known) {
+        let newer = self
+            .known
+            .get(&range)
+            .is_some_and(|k| k.version > known.version);
+        if newer && known.version > 0 {
+            return;
+        }
+        if self.known.len() >= KNOWN_MOST && !self.known.contains_key(&range) {
+            // Any will do: what is asked for again is read again.
+            let other = self.known.keys().next().cloned();
+            other.and_then(|other| self.known.remove(&other));
+        }
+        self.known.insert(range, known);
+    }
+
+    pub fn forget(&mut self, range: &Range) {
+        self.known.remove(range);
+    }
+
+    /// The leader may work on a range now.
+    pub fn free(&self, range: &Range, now: Duration) -> bool {
+        match self.busy.get(range) {
+            None => true,
+            Some(until) => until.is_some_and(|until| now >= until),
+        }
+    }
+
+    pub fn take(&mut self, range: &Range) {
+        self.busy.insert(range.clone(), None);
+    }
+
+    /// The leader's work on a range is over; it rests until then, so that submissions in
+    /// the same range find it as they read it.
+    pub fn release(&mut self, range: &Range, until: Duration, now: Duration) {
+        self.busy.retain(|_, at| at.is_none_or(|at| at > now));
+        self.busy.insert(range.clone(), Some(until));
+    }
+
+    pub fn reset(&mut self) {
+        self.busy.clear();
+    }
+}
+
+/// What proves that a job has no end, in each place where it could be; none where a
+/// range is not known, or where it has one.
+pub fn absent(cluster: &Cluster, id: &JobId, ranges: &Ranges) -> Option<Vec<Condition>> {
+    let mut conditions = Vec::new();
+    for place in places(cluster) {
+        conditions.push(match place {
+            Place::Alone => when(final_key(id), 0),
+            Place::Packed => {
+                let (range, name) = Range::of(id);
+                let known = ranges.get(&range)?;
+                if known.ends.get(name).is_some() {
+                    return None;
+                }
+                when(range.key(), known.version)
+            }
+        });
+    }
+    Some(conditions)
+}
+
+/// Stores the ends of jobs of one range in the form that is written now. The caller has
+/// read the range where it is needed.
+pub struct Ending {
+    pub conditions: Vec<Condition>,
+    pub changes: Vec<Change>,
+    /// The range as it will be.
+    pub ends: Option<(Range, Ends)>,
+}
+
+pub fn ending(cluster: &Cluster, jobs: &[(JobId, FinalRecord)], ranges: &Ranges) -> Option<Ending> {
+    match place(cluster.written()) {
+        Place::Alone => Some(Ending {
+            conditions: Vec::new(),
+            changes: jobs.iter().map(|(id, r)| put(final_key(id), r)).collect(),
+            ends: None,
+        }),
+        Place::Packed => {
+            let (range, _) = Range::of(&jobs.first()?.0);
+            let known = ranges.get(&range)?;
+            let mut ends = known.ends.clone();
+            for (id, record) in jobs {
+                ends.insert(Range::of(id).1, *record);
+            }
+            Some(Ending {
+                conditions: vec![when(range.key(), known.version)],
+                changes: vec![put(range.key(), &ends)],
+                ends: Some((range, ends)),
+            })
+        }
+    }
+}
+
+/// Rewrites records of one range in the other form.
+pub struct Rewrite {
+    pub conditions: Vec<Condition>,
+    pub changes: Vec<Change>,
+    pub range: Range,
+    pub ends: Ends,
+    pub records: usize,
+}
+
+/// From keys of their own into the range. As many as a transaction has room for.
+pub fn pack(range: &Range, alone: &[(JobId, FinalRecord, u64)], known: &Known) -> Rewrite {
+    let mut ends = known.ends.clone();
+    let mut conditions = vec![when(range.key(), known.version)];
+    let mut deletes = Vec::new();
+    for (id, record, version) in alone {
+        ends.insert(Range::of(id).1, *record);
+        conditions.push(when(final_key(id), *version));
+        deletes.push(delete(final_key(id)));
+    }
+    let mut changes = vec![put(range.key(), &ends)];
+    changes.extend(deletes);
+    Rewrite {
+        conditions,
+        changes,
+        range: range.clone(),
+        ends,
+        records: alone.len(),
+    }
+}
+
+/// Back from the range to keys of their own.
+pub fn unpack(range: &Range, known: &Known, most: usize) -> Option<Rewrite> {
+    let mut ends = known.ends.clone();
+    let taken = ends.split_off(most.saturating_sub(1).max(1));
+    let mut conditions = vec![when(range.key(), known.version)];
+    let mut changes = vec![match ends.is_empty() {
+        true => delete(range.key()),
+        false => put(range.key(), &ends),
+    }];
+    let records = taken.len();
+    for (name, record) in taken {
+        let key = final_key(&range.id(&name)?);
+        conditions.push(when(&key, 0));
+        changes.push(put(key, &record));
+    }
+    Some(Rewrite {
+        conditions,
+        changes,
+        range: range.clone(),
+        ends,
+        records,
+    })
+}
--- a/src/core/front.rs
+++ b/src/core/front.rs
@@ -5,17 +5,18 @@
 
 use super::{
     Answer, Node, Purpose, RequestId,
+    finals::{self, Known, Place, Range},
     job::{FinalRecord, JobId, JobRecord, JobSpec, JobState, Kind, Resources},
     machine::MachineType,
-    store::{LIVE, StateReply, StateRequest, delete, final_key, job_key, put, when},
+    store::{GENERATION, LIVE, StateReply, StateRequest, delete, final_key, job_key, put, when},
 };
 
 /// What is to be answered about a job once its state is known for sure.
 #[derive(Debug, Clone)]
 pub enum Question {
     Status,
-    /// A submission of a job that may be known.
-    Repeat,
+    /// A submission of a job that may be known, and how often it was tried to store it.
+    Repeat(Arc<JobSpec>, u8),
     /// A submission that can never run, unless the job was accepted before.
     Reject(String),
     Withdraw,
@@ -28,6 +29,18 @@
     question: Question,
 }
 
+/// The end of a job that is looked for.
+#[derive(Debug)]
+pub struct FinalRead {
+    id: JobId,
+    request: RequestId,
+    question: Question,
+    /// Where it still may be.
+    places: Vec<Place>,
+    /// The revision of the generation's record that these places follow from.
+    generation: u64,
+}
+
 #[derive(Debug, Default)]
 pub struct Front {
     /// Not covered by a proof yet.
@@ -38,43 +51,117 @@
     next_sync: Duration,
 }
 
+/// A write that needs to know the end of no job in a range.
+#[derive(Debug, Clone)]
+pub enum Pending {
+    Accept(Arc<JobSpec>, u8),
+    Cancel,
+}
+
 const RETRY: Duration = Duration::from_secs(1);
+/// How often a submission is tried that something else came before.
+const TRIES: u8 = 4;
 /// Questions that wait for a proof at a time.
 const ASKED_MOST: usize = 2000;
 
 impl Node {
     pub(super) fn submit(&mut self, request: RequestId, spec: Arc<JobSpec>) {
-        let Some(types) = self.mirror.types.clone().filter(|_| self.mirror.loaded) else {
+        let able = self.mirror.loaded && !self.estranged();
+        let Some(types) = self.mirror.types.clone().filter(|_| able) else {
             self.answer(request, Answer::Later { retry: RETRY });
             return;
         };
         let id = spec.id.clone();
         if self.mirror.jobs.contains_key(&id) || self.finals.contains_key(&id) {
-            self.ask(request, id, Question::Repeat);
+            self.ask(request, id, Question::Repeat(spec, TRIES));
             return;
         }
         if let Some(reason) = self.never_runs(&spec, &types) {
             self.ask(request, id, Question::Reject(reason));
             return;
         }
+        self.accept(request, spec, 0);
+    }
+
+    /// Stores a job on condition that nothing is stored of it, in any form: of the
+    /// generation that this node knows, or the write fails.
+    fn accept(&mut self, request: RequestId, spec: Arc<JobSpec>, tries: u8) {
+        let id = spec.id.clone();
+        let (cluster, generation) = self.mirror.cluster;
+        let Some(absent) = finals::absent(&cluster, &id, &self.ranges) else {
+            let range = Range::of(&id).0;
+            match self.ranges.get(&range).is_some() {
+                // It has an end.
+                true => self.ask(request, id, Question::Repeat(spec, TRIES)),
+                false => self.read_range(request, id, Pending::Accept(spec, tries)),
+            }
+            return;
+        };
         let accepted_ms = self.clock.wall_ms;
         let record = JobRecord {
             spec: spec.clone(),
             accepted_ms,
         };
+        let mut conditions = vec![when(job_key(&id), 0), when(GENERATION, generation)];
+        conditions.extend(absent);
         self.call(
             Purpose::Accept {
                 request,
                 spec,
                 accepted_ms,
+                tries,
             },
             StateRequest::Txn {
-                conditions: vec![when(job_key(&id), 0), when(final_key(&id), 0)],
+                conditions,
                 changes: vec![put(job_key(&id), &record)],
             },
         );
     }
 
+    fn read_range(&mut self, request: RequestId, id: JobId, then: Pending) {
+        let key = Range::of(&id).0.key();
+        let purpose = Purpose::ReadRange { request, id, then };
+        self.call(purpose, StateRequest::Get { key });
+    }
+
+    pub(super) fn range_read(
+        &mut self,
+        request: RequestId,
+        id: JobId,
+        then: Pending,
+        reply: &StateReply,
+    ) {
+        if self.learn_range(&Range::of(&id).0, reply).is_none() {
+            self.answer(request, Answer::Later { retry: RETRY });
+            return;
+        }
+        match then {
+            Pending::Accept(spec, tries) => self.accept(request, spec, tries),
+            Pending::Cancel => self.cancel(request, id),
+        }
+    }
+
+    /// What a range holds, as read just now; none where that is not known.
+    pub(super) fn learn_range(&mut self, range: &Range, reply: &StateReply) -> Option<Known> {
+        let known = match reply {
+            StateReply::Missing => Known::default(),
+            StateReply::Entry(entry) => match serde_json::from_str(entry.value.get()) {
+                Ok(ends) => Known {
+                    version: entry.version,
+                    ends,
+                },
+                Err(_) => {
+                    self.cannot_read(&entry.key);
+                    return None;
+                }
+            },
+            _ => return None,
+        };
+        self.ranges.forget(range);
+        self.ranges.learn(range.clone(), known.clone());
+        Some(known)
+    }
+
     /// Why a job can never run, if it can't.
     fn never_runs(&self, spec: &JobSpec, types: &[MachineType]) -> Option<String> {
         let Some(team) = self.config.teams.get(&spec.team) else {
@@ -116,6 +203,7 @@
         request: RequestId,
         spec: Arc<JobSpec>,
         accepted_ms: u64,
+        tries: u8,
         reply: StateReply,
     ) {
         let id = spec.id.clone();
@@ -127,7 +215,11 @@
                 }
                 self.answer(request, Answer::Accepted(id));
             }
-            StateReply::Conflict => self.ask(request, id, Question::Repeat),
+            // The job is known, or the range or the generation has changed.
+            StateReply::Conflict => {
+                self.ranges.forget(&Range::of(&id).0);
+                self.ask(request, id, Question::Repeat(spec, tries + 1));
+            }
             StateReply::Refused { retry, .. } => {
                 let retry = retry.unwrap_or(RETRY);
                 self.answer(request, Answer::Later { retry });
@@ -139,7 +231,7 @@
     pub(super) fn ask(&mut self, request: RequestId, id: JobId, question: Question) {
         if let Some(record) = self.finals.get(&id).copied() {
             self.answer_final(request, &id, &question, record);
-        } else if !self.mirror.loaded || self.front.asked.len() >= ASKED_MOST {
+        } else if !self.mirror.loaded || self.estranged() || self.front.asked.len() >= ASKED_MOST {
             self.answer(request, Answer::Later { retry: RETRY });
         } else {
             self.front.asked.push(Asked {
@@ -192,19 +284,27 @@
             id,
             question,
         } = asked;
-        let Some(job) = self.mirror.jobs.get(&id) else {
+        if self.estranged() || self.mirror.obscure(&id) {
+            // What is stored of it says something that this process can't know.
+            self.answer(request, Answer::Later { retry: RETRY });
+            return;
+        }
+        let Some(_) = self.mirror.jobs.get(&id) else {
             if let Some(record) = self.finals.get(&id).copied() {
                 self.answer_final(request, &id, &question, record);
                 return;
             }
             // Neither active nor known to be over: its end, if it had one, was
             // stored with its removal from the active ones.
-            let key = final_key(&id);
-            let waiting = vec![(request, question)];
-            self.call(
-                Purpose::ReadFinal { id, waiting },
-                StateRequest::Get { key },
-            );
+            let (cluster, generation) = self.mirror.cluster;
+            let places = finals::places(&cluster);
+            self.read_final(FinalRead {
+                id,
+                request,
+                question,
+                places,
+                generation,
+            });
             return;
         };
         let (done, running) = self.counts(&id);
@@ -214,27 +314,48 @@
         };
         match question {
             Question::Status => self.answer(request, Answer::Status(id, state, done, running)),
-            Question::Repeat | Question::Reject(_) => {
+            Question::Repeat(..) | Question::Reject(_) => {
                 self.answer(request, Answer::Known(id, state));
             }
-            Question::Withdraw => {
-                let record = FinalRecord {
-                    state: JobState::Cancelled,
-                    done,
-                };
-                let conditions = vec![when(job_key(&id), job.version)];
-                let changes = vec![delete(job_key(&id)), put(final_key(&id), &record)];
-                self.call(
-                    Purpose::Cancel { request, id },
-                    StateRequest::Txn {
-                        conditions,
-                        changes,
-                    },
-                );
-            }
+            Question::Withdraw => self.cancel(request, id),
         }
     }
 
+    /// Stores a job's end as cancelled, in the form that is written now.
+    fn cancel(&mut self, request: RequestId, id: JobId) {
+        let Some(job) = self.mirror.jobs.get(&id) else {
+            // It ended while its range was read.
+            self.ask(request, id, Question::Withdraw);
+            return;
+        };
+        let job = when(job_key(&id), job.version);
+        let (cluster, generation) = self.mirror.cluster;
+        let record = FinalRecord {
+            state: JobState::Cancelled,
+            done: self.counts(&id).0,
+        };
+        let ended = [(id.clone(), record)];
+        let Some(ending) = finals::ending(&cluster, &ended, &self.ranges) else {
+            self.read_range(request, id, Pending::Cancel);
+            return;
+        };
+        let mut conditions = vec![job, when(GENERATION, generation)];
+        conditions.extend(ending.conditions);
+        let mut changes = vec![delete(job_key(&id))];
+        changes.extend(ending.changes);
+        self.call(
+            Purpose::Cancel {
+                request,
+                id,
+                ends: ending.ends,
+            },
+            StateRequest::Txn {
+                conditions,
+                changes,
+            },
+        );
+    }
+
     fn counts(&self, id: &JobId) -> (u32, u32) {
         match &self.leader {
             Some(leader) => leader.job_counts(id).unwrap_or((0, 0)),
@@ -242,8 +363,15 @@
         }
     }
 
-    pub(super) fn cancelled(&mut self, request: RequestId, id: JobId, reply: StateReply) {
+    pub(super) fn cancelled(
+        &mut self,
+        request: RequestId,
+        id: JobId,
+        ends: Option<(Range, finals::Ends)>,
+        reply: StateReply,
+    ) {
         let now = self.now();
+        self.range_written(&id, ends, &reply);
         match reply {
             StateReply::Committed { revision } => {
                 let record = FinalRecord {
@@ -265,32 +393,94 @@
         }
     }
 
-    pub(super) fn final_read(
+    /// What came of a write that would change a range.
+    pub(super) fn range_written(
         &mut self,
-        id: JobId,
-        waiting: Vec<(RequestId, Question)>,
-        reply: StateReply,
+        id: &JobId,
+        ends: Option<(Range, finals::Ends)>,
+        reply: &StateReply,
     ) {
-        let record = match &reply {
-            StateReply::Entry(entry) => serde_json::from_str(entry.value.get()).ok(),
-            _ => None,
-        };
-        if let Some(record) = record {
-            self.keep_final(id.clone(), record);
+        match (reply, ends) {
+            (StateReply::Committed { revision }, Some((range, ends))) => {
+                let version = *revision;
+                self.ranges.learn(range, Known { version, ends });
+            }
+            (StateReply::Committed { .. }, None) => {}
+            _ => self.ranges.forget(&Range::of(id).0),
         }
-        for (request, question) in waiting {
-            match (record, &reply, &question) {
-                (Some(record), _, question) => {
-                    self.answer_final(request, &id, question, record);
-                }
-                (None, StateReply::Missing, Question::Status | Question::Withdraw) => {
-                    self.answer(request, Answer::NotFound);
+    }
+
+    /// Looks for the end of a job at the first of the places that are left.
+    fn read_final(&mut self, read: FinalRead) {
+        let request = match read.places.first() {
+            Some(Place::Alone) => StateRequest::Get {
+                key: final_key(&read.id),
+            },
+            Some(Place::Packed) => StateRequest::Get {
+                key: Range::of(&read.id).0.key(),
+            },
+            // It was nowhere. That says something only if nothing moved meanwhile.
+            None => StateRequest::Txn {
+                conditions: vec![when(GENERATION, read.generation)],
+                changes: Vec::new(),
+            },
+        };
+        self.call(Purpose::ReadFinal(Box::new(read)), request);
+    }
+
+    pub(super) fn final_read(&mut self, mut read: FinalRead, reply: StateReply) {
+        let found = match (read.places.first(), &reply) {
+            (Some(Place::Alone), StateReply::Missing) => None,
+            (Some(Place::Alone), StateReply::Entry(entry)) => {
+                match finals::parse_alone(entry.value.get()) {
+                    Some(record) => Some(record),
+                    None => {
+                        self.cannot_read(&entry.key);
+                        self.answer(read.request, Answer::Later { retry: RETRY });
+                        return;
+                    }
                 }
-                (None, StateReply::Missing, Question::Reject(reason)) => {
-                    self.answer(request, Answer::Impossible(reason.clone()));
+            }
+            (Some(Place::Packed), reply) => {
+                let (range, name) = Range::of(&read.id);
+                match self.learn_range(&range, reply) {
+                    Some(known) => known.ends.get(name),
+                    None => {
+                        self.answer(read.request, Answer::Later { retry: RETRY });
+                        return;
+                    }
                 }
-                _ => self.answer(request, Answer::Later { retry: RETRY }),
             }
+            (None, StateReply::Committed { .. }) => {
+                self.nowhere(read);
+                return;
+            }
+            _ => {
+                self.answer(read.request, Answer::Later { retry: RETRY });
+                return;
+            }
+        };
+        if let Some(record) = found {
+            self.keep_final(read.id.clone(), record);
+            self.answer_final(read.request, &read.id, &read.question, record);
+            return;
+        }
+        read.places.remove(0);
+        match read.places.is_empty() && read.generation == 0 {
+            // The record of the generation is stored long before anything moves.
+            true => self.nowhere(read),
+            false => self.read_final(read),
+        }
+    }
+
+    /// A job of which nothing is stored.
+    fn nowhere(&mut self, read: FinalRead) {
+        let request = read.request;
+        match read.question {
+            Question::Status | Question::Withdraw => self.answer(request, Answer::NotFound),
+            Question::Reject(reason) => self.answer(request, Answer::Impossible(reason)),
+            Question::Repeat(spec, tries) if tries < TRIES => self.accept(request, spec, tries),
+            Question::Repeat(..) => self.answer(request, Answer::Later { retry: RETRY }),
         }
     }
 
--- a/src/core/job.rs
+++ b/src/core/job.rs
@@ -151,6 +151,7 @@
 
 /// What a task takes, or what a machine has.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Resources {
     pub cpus: f64,
     pub gpus: f64,
@@ -201,6 +202,7 @@
 
 /// What a user asked for. Stored as it is, and never changed.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct JobSpec {
     pub id: JobId,
     pub class: Arc<str>,
@@ -211,7 +213,10 @@
     pub need: Resources,
     pub image: Arc<str>,
     pub image_gb: f64,
+    // These are always stored: one that is left out is of another form.
+    #[serde(deserialize_with = "Option::deserialize")]
     pub types: Option<Vec<String>>,
+    #[serde(deserialize_with = "Option::deserialize")]
     pub zone: Option<String>,
     pub one_zone: bool,
     pub spread: bool,
@@ -219,6 +224,7 @@
     pub estimate_s: f64,
     pub checkpoint_s: f64,
     pub save_s: f64,
+    #[serde(deserialize_with = "Option::deserialize")]
     pub deadline_s: Option<f64>,
     /// Seats that each task takes, by licence.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
@@ -248,6 +254,7 @@
 
 /// An accepted job in the state service.
 #[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct JobRecord {
     pub spec: Arc<JobSpec>,
     /// When the job was accepted, in milliseconds of the time of day.
@@ -256,6 +263,7 @@
 
 /// What is kept of a job for ever.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct FinalRecord {
     pub state: JobState,
     pub done: u32,
@@ -332,13 +340,20 @@
         words.join(",")
     }
 
-    pub fn decode_chunk(&mut self, chunk: u32, text: &str) {
-        let start = Self::chunk_words(chunk).start;
-        for (i, word) in text.split(',').take(CHUNK as usize / 64).enumerate() {
-            let Ok(word) = u64::from_str_radix(word, 16) else {
-                continue;
-            };
-            let at = start + i;
+    /// Takes a stored chunk in. False where it can't be read: a task that is taken for
+    /// not done for that reason alone would run again.
+    #[must_use]
+    pub fn decode_chunk(&mut self, chunk: u32, text: &str) -> bool {
+        let range = Self::chunk_words(chunk);
+        let words = || text.split(',').filter(|_| !text.is_empty());
+        if words().count() > range.len()
+            || words().any(|word| u64::from_str_radix(word, 16).is_err())
+        {
+            return false;
+        }
+        for (i, word) in words().enumerate() {
+            let word = u64::from_str_radix(word, 16).unwrap_or_default();
+            let at = range.start + i;
             if word != 0 {
                 if self.words.len() <= at {
                     self.words.resize(at + 1, 0);
@@ -346,5 +361,6 @@
                 self.words[at] |= word;
             }
         }
+        true
     }
 }
--- a/src/core/lead.rs
+++ b/src/core/lead.rs
@@ -15,8 +15,8 @@
     mirror::LeaderRecord,
     roster::ShardRecord,
     store::{
-        LEADER, LIVE, PROGRESS, ROSTER, SETTLED, StateReply, StateRequest, delete, put, put_leased,
-        when,
+        Entry, GENERATION, LEADER, LIVE, PROGRESS, ROSTER, SETTLED, StateReply, StateRequest,
+        delete, put, put_leased, when,
     },
 };
 
@@ -107,6 +107,25 @@
     in_flight: u32,
 }
 
+impl TakeOver {
+    /// Takes a shard of the roster in; none where it can't be read.
+    fn take_shard(&mut self, entry: &Entry) -> Option<()> {
+        let shard = entry.key.strip_prefix(ROSTER)?.parse().ok()?;
+        let record = ShardRecord::parse(entry.value.get())?;
+        self.roster_so_far.push((shard, record, entry.version));
+        Some(())
+    }
+
+    /// The same for done tasks of an array.
+    fn take_progress(&mut self, entry: &Entry) -> Option<()> {
+        let (id, chunk) = entry.key.strip_prefix(PROGRESS)?.split_once('/')?;
+        let (id, chunk) = (JobId::parse(id)?, chunk.parse().ok()?);
+        let text: String = serde_json::from_str(entry.value.get()).ok()?;
+        let set = self.progress_so_far.entry(id).or_default();
+        set.decode_chunk(chunk, &text).then_some(())
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Loading {
     Sync { claim: u64 },
@@ -156,7 +175,11 @@
         }
         self.pump_vacating();
         let patience = self.config.leader_ttl;
-        if self.lead.claiming || now < self.lead.retry || !self.members.may_lead(now, patience) {
+        if self.lead.claiming
+            || now < self.lead.retry
+            || !self.members.may_lead(now, patience)
+            || !self.may_claim()
+        {
             return;
         }
         let Some(former) = self.former() else { return };
@@ -183,7 +206,12 @@
                         former,
                     },
                     StateRequest::Txn {
-                        conditions: vec![when(LEADER, version)],
+                        // A process that does not know how the records are written
+                        // now can't claim.
+                        conditions: vec![
+                            when(LEADER, version),
+                            when(GENERATION, self.mirror.cluster.1),
+                        ],
                         changes: vec![put_leased(LEADER, &record, Some(lease))],
                     },
                 );
@@ -393,6 +421,7 @@
         self.leader = None;
         self.lead.taking = None;
         self.saves.reset();
+        self.ranges.reset();
     }
 
     /// Whoever led before this claim has stopped: once that is stored, a successor
@@ -569,30 +598,17 @@
             return;
         };
         let last = entries.last().map(|e| e.key.clone());
-        for entry in &entries {
-            match loading {
-                Loading::Roster { .. } => {
-                    if let Some(shard) = entry.key.strip_prefix(ROSTER)
-                        && let Ok(shard) = shard.parse()
-                        && let Ok(record) = serde_json::from_str(entry.value.get())
-                    {
-                        taking.roster_so_far.push((shard, record, entry.version));
-                    }
-                }
-                _ => {
-                    let chunk = entry
-                        .key
-                        .strip_prefix(PROGRESS)
-                        .and_then(|rest| rest.split_once('/'))
-                        .and_then(|(id, chunk)| Some((JobId::parse(id)?, chunk.parse().ok()?)));
-                    if let Some((id, chunk)) = chunk
-                        && let Ok(text) = serde_json::from_str::<String>(entry.value.get())
-                    {
-                        let set = taking.progress_so_far.entry(id).or_default();
-                        set.decode_chunk(chunk, &text);
-                    }
-                }
-            }
+        let mut unreadable = entries.iter().filter(|entry| {
+            let read = match loading {
+                Loading::Roster { .. } => taking.take_shard(entry),
+                _ => taking.take_progress(entry),
+            };
+            read.is_none()
+        });
+        if let Some(entry) = unreadable.next() {
+            let key = entry.key.clone();
+            self.stop_take_over(&key);
+            return;
         }
         if let (true, Some(_)) = (more, &last) {
             self.take_over_page(loading, last);
--- a/src/core/machine.rs
+++ b/src/core/machine.rs
@@ -13,6 +13,7 @@
 
 /// A kind of machine that the cloud rents.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct MachineType {
     pub name: Arc<str>,
     pub size: Resources,
--- a/src/core/members/nodes.rs
+++ b/src/core/members/nodes.rs
@@ -6,6 +6,7 @@
     time::Duration,
 };
 
+use kiteyard_rollout::machine::Told;
 use serde::{Deserialize, Serialize};
 
 use super::accrual::{Accrual, Source};
@@ -23,6 +24,9 @@
     /// Machines by zone that reported to it lately.
     #[serde(default)]
     pub hears: BTreeMap<Arc<str>, u32>,
+    /// Which process it is, and which generation it knows, where rollouts are on.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub told: Option<Told>,
 }
 
 impl Pulse {
@@ -177,10 +181,27 @@
         self.fresh(now).any(|(_, pulse)| pulse.state < REACHES)
     }
 
+    /// A node is heard, whatever it says.
+    pub fn here(&self, node: &str, now: Duration) -> bool {
+        self.fresh(now).any(|(other, _)| other == node)
+    }
+
+    /// What a node that is heard told of its process.
+    pub fn told(&self, node: &str, now: Duration) -> Option<Told> {
+        let mut fresh = self.fresh(now);
+        fresh.find(|(other, _)| *other == node)?.1.told
+    }
+
     /// The served node that hears most machines, and how many.
     pub fn best(&self, now: Duration) -> Option<(String, u32)> {
+        self.best_of(now, |_| true)
+    }
+
+    /// The same among some of them.
+    pub fn best_of(&self, now: Duration, among: impl Fn(&String) -> bool) -> Option<(String, u32)> {
         let served = self.fresh(now).filter(|(_, pulse)| pulse.state < REACHES);
         served
+            .filter(|(node, _)| among(node))
             .map(|(node, pulse)| (pulse.machines(), node))
             .max()
             .map(|(machines, node)| (node.clone(), machines))
--- /dev/null
+++ b/src/core/migrate.rs
@@ -0,0 +1,285 @@
+//! Rewriting old records in the form of the new generation: the leader's work, as slow as
+//! its share of the state service's changes, and behind everything else that it writes.
+//!
+//! Nothing is remembered of how far it is: what is left is what a listing still finds. So
+//! it goes on after a take-over as after a pause, and it is over when a listing that began
+//! after the new form was switched on finds nothing. Nobody writes the old form after that
+//! switch, since every such write depends on the generation's record.
+
+use std::{collections::VecDeque, time::Duration};
+
+use tracing::info;
+
+use super::{
+    BACK_OFF, Node, Purpose,
+    finals::{self, Place, Range, Rewrite},
+    job::{FinalRecord, JobId},
+    store::{ENDS, Entry, FINALS, GENERATION, LEADER, StateReply, StateRequest, when},
+};
+use kiteyard_rollout::generation::Stage;
+
+/// Records of one range that are still in the old form.
+#[derive(Debug)]
+enum Work {
+    Pack(Range, VecDeque<(JobId, FinalRecord, u64)>),
+    Unpack(Range),
+}
+
+impl Work {
+    fn range(&self) -> &Range {
+        match self {
+            Work::Pack(range, _) | Work::Unpack(range) => range,
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+pub struct Migration {
+    /// The revision of the generation's record that this is about, and the claim.
+    about: (u64, u64),
+    /// Where the listing goes on.
+    after: Option<String>,
+    queue: VecDeque<Work>,
+    /// Records that this listing found, and those of them that were rewritten.
+    found: u64,
+    rewritten: u64,
+    listed: bool,
+    clean: bool,
+    /// A request is under way.
+    busy: bool,
+    retry: Duration,
+    /// Changes that may be made now.
+    allowance: f64,
+    refilled: Duration,
+    moved: u64,
+}
+
+impl Migration {
+    /// Nothing old is left, under the record of that revision.
+    pub fn clean(&self, revision: u64) -> bool {
+        self.clean && self.about.0 == revision
+    }
+
+    pub fn moved(&self) -> u64 {
+        self.moved
+    }
+
+    /// Records found and not yet rewritten; none before any listing.
+    pub fn left(&self) -> Option<u64> {
+        (self.listed || self.found > 0).then(|| self.found.saturating_sub(self.rewritten))
+    }
+
+    /// From the beginning: what failed is found again.
+    fn again(&mut self) {
+        self.after = None;
+        self.queue.clear();
+        (self.found, self.rewritten) = (0, 0);
+    }
+}
+
+/// What a request of the migration was.
+#[derive(Debug)]
+pub enum Asked {
+    List,
+    Read(Range),
+    Rewrite(Range, finals::Ends, u64),
+}
+
+impl Node {
+    /// Does the next bit, after all else that the leader had to write.
+    pub(super) fn pump_migration(&mut self) {
+        let now = self.now();
+        let (cluster, revision) = self.mirror.cluster;
+        let Some(config) = self.config.options.rollout.clone() else {
+            return;
+        };
+        let Some(claim) = self.leader.as_ref().map(|leader| leader.claim) else {
+            return;
+        };
+        if cluster.stage != Stage::Migrating || self.mirror.orders.0.paused {
+            return;
+        }
+        let rate = self.config.writes * config.share;
+        let most = self.config.txn_ops;
+        let migration = &mut self.rollout.migration;
+        if migration.about != (revision, claim) {
+            *migration = Migration {
+                about: (revision, claim),
+                moved: migration.moved,
+                refilled: now,
+                ..Migration::default()
+            };
+        }
+        let passed = now.saturating_sub(migration.refilled).as_secs_f64();
+        migration.refilled = now;
+        migration.allowance = (migration.allowance + passed * rate).min(most as f64);
+        if migration.busy || migration.clean || now < migration.retry {
+            return;
+        }
+        let Some(work) = migration.queue.front() else {
+            migration.busy = true;
+            let prefix = match finals::place(cluster.from) {
+                Place::Alone => FINALS,
+                Place::Packed => ENDS,
+            };
+            let after = migration.after.clone();
+            self.call(
+                Purpose::Migrate((revision, claim), Asked::List),
+                StateRequest::List {
+                    prefix: prefix.into(),
+                    after,
+                },
+            );
+            return;
+        };
+        let range = work.range().clone();
+        // Whoever waits for a change comes first, and so do the ends of jobs.
+        if migration.allowance < 1.0 || !self.saves.spare() || !self.ranges.free(&range, now) {
+            return;
+        }
+        let Some(known) = self.ranges.get(&range) else {
+            migration.busy = true;
+            let key = range.key();
+            self.call(
+                Purpose::Migrate((revision, claim), Asked::Read(range)),
+                StateRequest::Get { key },
+            );
+            return;
+        };
+        let rewrite = match migration.queue.front_mut() {
+            Some(Work::Pack(range, alone)) => {
+                let count = alone.len().min(most - 1);
+                let some: Vec<_> = alone.drain(..count).collect();
+                let rewrite = finals::pack(range, &some, known);
+                if alone.is_empty() {
+                    migration.queue.pop_front();
+                }
+                Some(rewrite)
+            }
+            Some(Work::Unpack(range)) => finals::unpack(range, known, most),
+            None => None,
+        };
+        let Some(rewrite) = rewrite.filter(|rewrite| rewrite.records > 0) else {
+            migration.queue.pop_front();
+            return;
+        };
+        migration.busy = true;
+        let Rewrite {
+            mut conditions,
+            changes,
+            range,
+            ends,
+            records,
+        } = rewrite;
+        conditions.push(when(GENERATION, revision));
+        conditions.push(when(LEADER, claim));
+        migration.allowance -= changes.len() as f64;
+        self.saves.charge(changes.len() as f64);
+        self.ranges.take(&range);
+        let asked = Asked::Rewrite(range, ends, records as u64);
+        self.call(
+            Purpose::Migrate((revision, claim), asked),
+            StateRequest::Txn {
+                conditions,
+                changes,
+            },
+        );
+    }
+
+    pub(super) fn migrated(&mut self, about: (u64, u64), asked: Asked, reply: StateReply) {
+        let now = self.now();
+        if let Asked::Rewrite(range, ends, _) = &asked {
+            match &reply {
+                StateReply::Committed { revision } => {
+                    // Emptied, it was removed.
+                    let known = finals::Known {
+                        version: if ends.is_empty() { 0 } else { *revision },
+                        ends: ends.clone(),
+                    };
+                    self.ranges.forget(range);
+                    self.ranges.learn(range.clone(), known);
+                }
+                _ => self.ranges.forget(range),
+            }
+            self.ranges.release(range, now, now);
+        }
+        if self.rollout.migration.about != about {
+            return;
+        }
+        self.rollout.migration.busy = false;
+        match (asked, reply) {
+            (Asked::List, StateReply::Entries { entries, more, .. }) => {
+                self.old_records(&entries, more);
+            }
+            (Asked::Read(range), reply) => {
+                if self.learn_range(&range, &reply).is_none() {
+                    self.rollout.migration.retry = now + BACK_OFF * 4;
+                }
+            }
+            (Asked::Rewrite(range, ends, records), StateReply::Committed { .. }) => {
+                let migration = &mut self.rollout.migration;
+                migration.moved += records;
+                migration.rewritten += records;
+                let over = ends.is_empty();
+                let front = migration.queue.front();
+                if matches!(front, Some(Work::Unpack(r)) if *r == range && over) {
+                    migration.queue.pop_front();
+                }
+            }
+            // It may have been done, or something came between: listed again.
+            _ => {
+                let migration = &mut self.rollout.migration;
+                migration.again();
+                migration.retry = now + BACK_OFF;
+            }
+        }
+    }
+
+    /// A page of records in the old form.
+    fn old_records(&mut self, entries: &[Entry], more: bool) {
+        let mut unread = None;
+        let migration = &mut self.rollout.migration;
+        for entry in entries {
+            let text = entry.value.get();
+            let alone = finals::alone_id(&entry.key);
+            let read = match alone {
+                Some(id) => finals::parse_alone(text).map(|record| {
+                    let range = Range::of(&id).0;
+                    let record = (id, record, entry.version);
+                    match migration.queue.back_mut() {
+                        Some(Work::Pack(last, alone)) if *last == range => alone.push_back(record),
+                        _ => migration
+                            .queue
+                            .push_back(Work::Pack(range, [record].into())),
+                    }
+                    1
+                }),
+                None => Range::of_key(&entry.key).and_then(|range| {
+                    let ends: finals::Ends = serde_json::from_str(text).ok()?;
+                    migration.queue.push_back(Work::Unpack(range));
+                    Some(ends.len() as u64)
+                }),
+            };
+            match read {
+                Some(records) => migration.found += records,
+                // It stays, and keeps the rollout where it is.
+                None => {
+                    migration.found += 1;
+                    unread = Some(entry.key.clone());
+                }
+            }
+        }
+        migration.listed |= !more;
+        migration.after = entries.last().map(|e| e.key.clone()).filter(|_| more);
+        if !more && migration.found == 0 {
+            migration.clean = true;
+            info!(moved = migration.moved, "nothing old is left");
+        } else if !more && migration.queue.is_empty() {
+            migration.again();
+            migration.retry = self.clock.now + BACK_OFF * 10;
+        }
+        if let Some(key) = unread {
+            self.cannot_read(&key);
+        }
+    }
+}
--- a/src/core/mirror.rs
+++ b/src/core/mirror.rs
@@ -5,20 +5,21 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use serde::{Deserialize, Serialize};
+use kiteyard_rollout::generation::{Ability, Cluster, Orders};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use super::{
     job::{JobId, JobRecord},
     machine::MachineType,
-    store::{Entry, Event, JOBS, LEADER, SETTLED, TYPES},
+    store::{Entry, Event, GENERATION, JOBS, LEADER, NODES, ORDERS, SETTLED, TYPES, job_key},
 };
 
 /// Who leads, in the leader key.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct LeaderRecord {
     pub node: String,
     /// It took the place of one that may act for another term.
-    #[serde(default)]
     pub superseded: bool,
 }
 
@@ -38,6 +39,15 @@
     pub settled: u64,
     pub types: Option<Arc<Vec<MachineType>>>,
     pub jobs: BTreeMap<JobId, LiveJob>,
+    /// The generation of the stored forms, and the revision of its key; 0: there is none.
+    pub cluster: (Cluster, u64),
+    pub orders: (Orders, u64),
+    /// What nodes' processes said they are able to, and the revision; none where this one
+    /// can't read it.
+    pub nodes: BTreeMap<String, (Option<Ability>, u64)>,
+    /// Keys that are there and can't be read. What they say is not known, so nothing may
+    /// be done as if they were not there.
+    pub unreadable: BTreeMap<String, u64>,
 }
 
 /// What a change means to the node.
@@ -47,9 +57,15 @@
     JobRemoved(JobId),
     Leader,
     Types,
+    Cluster,
 }
 
 impl Mirror {
+    /// Whether what is stored of this job can't be read.
+    pub fn obscure(&self, id: &JobId) -> bool {
+        !self.unreadable.is_empty() && self.unreadable.contains_key(&job_key(id))
+    }
+
     /// The leader took the place of one that may still act.
     pub fn unsettled(&self) -> bool {
         let leader = self.leader.as_ref();
@@ -77,33 +93,77 @@
         noticed
     }
 
-    fn apply(&mut self, event: &Event) -> Option<Noticed> {
-        let value = event.value.as_ref().map(|v| v.get());
-        if event.key == LEADER {
-            self.leader = value
-                .and_then(|v| serde_json::from_str(v).ok())
-                .map(|record| (record, event.revision));
-            return Some(Noticed::Leader);
-        }
-        if event.key == SETTLED {
-            self.settled = value
-                .and_then(|v| serde_json::from_str(v).ok())
-                .unwrap_or_default();
-            return None;
+    /// What a key holds now; none where it is gone, or can't be read, which is kept in mind.
+    fn read<T: DeserializeOwned>(&mut self, event: &Event) -> Option<T> {
+        let value = event.value.as_ref();
+        let read = value.map(|value| serde_json::from_str(value.get()));
+        match read {
+            Some(Err(_)) => {
+                self.unreadable.insert(event.key.clone(), event.revision);
+                None
+            }
+            read => {
+                self.unreadable.remove(&event.key);
+                read.and_then(Result::ok)
+            }
         }
-        if event.key == TYPES {
-            self.types = value
-                .and_then(|v| serde_json::from_str(v).ok())
-                .map(Arc::new);
-            return Some(Noticed::Types);
+    }
+
+    fn apply(&mut self, event: &Event) -> Option<Noticed> {
+        let revision = event.revision;
+        match event.key.as_str() {
+            LEADER => {
+                self.leader = self.read(event).map(|record| (record, revision));
+                return Some(Noticed::Leader);
+            }
+            // One that can't be read leaves a claim unsettled, which is the careful side.
+            SETTLED => self.settled = self.read(event).unwrap_or_default(),
+            TYPES => {
+                self.types = self.read(event).map(Arc::new);
+                return Some(Noticed::Types);
+            }
+            GENERATION => {
+                let there = event.value.is_some();
+                let cluster = self.read(event).filter(Cluster::holds);
+                if there && cluster.is_none() {
+                    self.unreadable.insert(event.key.clone(), revision);
+                }
+                let revision = if there { revision } else { 0 };
+                self.cluster = (cluster.unwrap_or_default(), revision);
+                return Some(Noticed::Cluster);
+            }
+            ORDERS => {
+                let revision = if event.value.is_some() { revision } else { 0 };
+                self.orders = (self.read(event).unwrap_or_default(), revision);
+            }
+            key => match key.strip_prefix(NODES) {
+                Some(node) => self.node_told(node.to_owned(), event),
+                None => return self.apply_job(event),
+            },
         }
-        let id = JobId::parse(event.key.strip_prefix(JOBS)?)?;
-        match value {
+        None
+    }
+
+    fn node_told(&mut self, node: String, event: &Event) {
+        match &event.value {
             Some(value) => {
-                let record = serde_json::from_str(value).ok()?;
-                self.add_job(id.clone(), record, event.revision)
-                    .then_some(Noticed::JobAdded(id))
+                let ability = serde_json::from_str(value.get()).ok();
+                self.nodes.insert(node, (ability, event.revision));
             }
+            None => {
+                self.nodes.remove(&node);
+            }
+        }
+    }
+
+    fn apply_job(&mut self, event: &Event) -> Option<Noticed> {
+        let id = JobId::parse(event.key.strip_prefix(JOBS)?)?;
+        match self.read(event) {
+            Some(record) => self
+                .add_job(id.clone(), record, event.revision)
+                .then_some(Noticed::JobAdded(id)),
+            // What was known of it before may not be what it is now.
+            None if event.value.is_some() => None,
             None => self
                 .jobs
                 .remove(&id)
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -5,6 +5,7 @@
 pub mod config;
 pub mod drain;
 pub mod failures;
+pub mod finals;
 pub mod fleet;
 pub mod flow;
 pub mod front;
@@ -15,12 +16,14 @@
 pub mod leader;
 pub mod machine;
 pub mod members;
+pub mod migrate;
 pub mod mirror;
 pub mod near;
 pub mod order;
 pub mod pulse;
 pub mod queue;
 pub mod relay;
+pub mod rollout;
 pub mod roster;
 pub mod saves;
 pub mod sched;
@@ -83,6 +86,12 @@
     Licences {
         request: RequestId,
     },
+    Rollout {
+        request: RequestId,
+        ask: rollout::Ask,
+    },
+    /// The process is about to end.
+    Retire,
     Report {
         request: RequestId,
         report: WorkerReport,
@@ -182,6 +191,7 @@
     Ready(bool),
     /// How licences stand, and how old that is where this node does not lead.
     Licences(Vec<LicenceView>, Option<Duration>),
+    Rollout(Box<kiteyard_rollout::view::Status>),
     Commands {
         token: u64,
         commands: Vec<Command>,
@@ -222,15 +232,25 @@
         request: RequestId,
         spec: Arc<JobSpec>,
         accepted_ms: u64,
+        tries: u8,
     },
     Cancel {
         request: RequestId,
         id: JobId,
+        ends: Option<(finals::Range, finals::Ends)>,
     },
-    ReadFinal {
+    ReadFinal(Box<front::FinalRead>),
+    ReadRange {
+        request: RequestId,
         id: JobId,
-        waiting: Vec<(RequestId, Question)>,
+        then: front::Pending,
+    },
+    Announce,
+    StoreGeneration,
+    Order {
+        request: RequestId,
     },
+    Migrate((u64, u64), migrate::Asked),
     TakeOver(lead::Loading),
     Save(saves::Save),
     StoreTypes,
@@ -266,6 +286,9 @@
     types_call: bool,
     retry_types: Duration,
     saves: saves::Saves,
+    rollout: rollout::Rollout,
+    /// Ends of jobs by range, where they are stored so.
+    ranges: finals::Ranges,
     relays: Relays,
     pulses: pulse::Pulses,
     members: Members,
@@ -279,6 +302,8 @@
         let config = Arc::new(config);
         Self {
             saves: saves::Saves::new(&config),
+            rollout: rollout::Rollout::new(config.options.rollout.as_deref()),
+            ranges: finals::Ranges::default(),
             relays: Relays::default(),
             pulses: pulse::Pulses::default(),
             members: Members::new(config.report, config.worker_lease_bound),
@@ -315,10 +340,15 @@
             Input::Status { request, id } => self.ask(request, id, Question::Status),
             Input::Withdraw { request, id } => self.ask(request, id, Question::Withdraw),
             Input::Ready { request } => {
-                let ready = self.mirror.loaded && self.mirror.types.is_some() && !self.left_alone();
+                let ready = self.mirror.loaded
+                    && self.mirror.types.is_some()
+                    && !self.left_alone()
+                    && self.fit_for_requests();
                 self.answer(request, Answer::Ready(ready));
             }
             Input::Licences { request } => self.licences(request),
+            Input::Rollout { request, ask } => self.rollout_asked(request, ask),
+            Input::Retire => self.retire(),
             Input::Report { request, report } => self.report(request, report),
             Input::State { call, reply } => {
                 if let Some(purpose) = self.calls.remove(&call) {
@@ -342,6 +372,11 @@
         std::mem::take(&mut self.out)
     }
 
+    /// It leads and has taken over.
+    pub fn places(&self) -> bool {
+        self.leader.is_some() && self.leads()
+    }
+
     /// Until then what a step has decided as the leader may go out.
     pub fn acts_until(&self) -> Duration {
         self.lead.acts_until()
@@ -384,6 +419,7 @@
         self.pump_mirror();
         self.pump_types();
         self.pump_pulses();
+        self.pump_rollout();
         self.pump_lead();
         self.pump_polls();
         self.pump_relays();
@@ -484,6 +520,7 @@
         let now = self.now();
         if self.mirror.loaded
             && self.mirror.types.is_none()
+            && !self.mirror.unreadable.contains_key(store::TYPES)
             && !self.types_call
             && now >= self.retry_types
         {
@@ -557,9 +594,17 @@
                 request,
                 spec,
                 accepted_ms,
-            } => self.accepted(request, spec, accepted_ms, reply),
-            Purpose::Cancel { request, id } => self.cancelled(request, id, reply),
-            Purpose::ReadFinal { id, waiting } => self.final_read(id, waiting, reply),
+                tries,
+            } => self.accepted(request, spec, accepted_ms, tries, reply),
+            Purpose::Cancel { request, id, ends } => self.cancelled(request, id, ends, reply),
+            Purpose::ReadFinal(read) => self.final_read(*read, reply),
+            Purpose::ReadRange { request, id, then } => {
+                self.range_read(request, id, then, &reply);
+            }
+            Purpose::Announce => self.announced(&reply),
+            Purpose::StoreGeneration => self.generation_stored(&reply),
+            Purpose::Order { request } => self.order_stored(request, &reply),
+            Purpose::Migrate(about, asked) => self.migrated(about, asked, reply),
             Purpose::TakeOver(loading) => self.take_over_reply(loading, reply),
             Purpose::Save(save) => self.saved(save, reply),
             Purpose::StoreTypes => {}
@@ -630,6 +675,7 @@
                 }
             }
             Noticed::Leader => self.leader_changed(),
+            Noticed::Cluster => {}
             Noticed::Types => {
                 if let (Some(leader), Some(types)) = (&mut self.leader, &self.mirror.types) {
                     leader.types = types.clone();
--- a/src/core/pulse.rs
+++ b/src/core/pulse.rs
@@ -108,6 +108,7 @@
             heard: nodes.leader_silence(now),
             state: nodes.state_silence(now),
             hears: self.members.sight.hears(),
+            told: self.told(),
         };
         let silent = pulse.state > EVERY;
         for to in self.config.peers.clone() {
@@ -203,14 +204,14 @@
                 .as_ref()
                 .is_some_and(|(_, machines)| *machines >= 3 && *machines > 2 * hears());
         if blind || better {
-            self.hand_over(best.map(|(node, _)| node));
+            self.hand_over(best.map(|(node, _)| node), "it hears no workers");
         }
     }
 
     /// Gives the leadership away, to another node or to whoever claims it first.
-    fn hand_over(&mut self, to: Option<String>) {
+    pub(super) fn hand_over(&mut self, to: Option<String>, why: &str) {
         let Some(claim) = self.claim() else { return };
-        self.drop_leader("it hears no workers");
+        self.drop_leader(why);
         self.members.gives_up(self.now());
         let wait = match to {
             Some(to) => {
--- /dev/null
+++ b/src/core/rollout.rs
@@ -0,0 +1,462 @@
+//! A node's part in rolling out a change of the stored state: what it says of itself, what
+//! it does when it can't read what is stored, operators' orders, and, where it leads, the
+//! steps of the cluster's generation.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use kiteyard_rollout::{
+    generation::{Ability, Order, Stage},
+    machine::{Machine, Output as Step, Seen, Told, View},
+    view::{NodeStatus, Status},
+};
+use tracing::{error, info};
+
+use super::{
+    Answer, BACK_OFF, Node, Purpose, RequestId,
+    finals::FEATURES,
+    migrate::Migration,
+    store::{GENERATION, LEADER, ORDERS, StateReply, StateRequest, node_key, put, when},
+};
+
+/// What operators ask of a node.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Ask {
+    Status,
+    Order(Order),
+    /// Gives the leadership away.
+    StepDown,
+}
+
+#[derive(Debug, Default)]
+pub struct Rollout {
+    /// Where rollouts are on.
+    machine: Option<Machine>,
+    /// The revision of this process's own record; 0: it is not stored yet.
+    started: u64,
+    announcing: bool,
+    retry: Duration,
+    /// A step of the generation is on its way.
+    storing: bool,
+    next: Duration,
+    /// Why this node does not act, as it was logged.
+    refused: Option<String>,
+    /// A record that a take-over could not read: until then it is not tried again.
+    blocked: Duration,
+    /// The last key that could not be read where it is not watched.
+    unread: Option<String>,
+    /// The process is about to end.
+    retiring: bool,
+    pub(super) migration: Migration,
+}
+
+/// How often the leader looks whether the generation can move.
+const LOOK_EVERY: Duration = Duration::from_millis(250);
+
+impl Rollout {
+    pub fn new(config: Option<&kiteyard_rollout::config::Config>) -> Self {
+        Self {
+            machine: config.map(|config| Machine::new(config.clone(), FEATURES)),
+            ..Self::default()
+        }
+    }
+}
+
+/// What this build is able to.
+pub fn ability() -> Ability {
+    Ability {
+        build: option_env!("KITEYARD_BUILD")
+            .unwrap_or(env!("CARGO_PKG_VERSION"))
+            .to_owned(),
+        least: kiteyard_rollout::generation::OLDEST,
+        most: FEATURES.iter().map(|f| f.since).max().unwrap_or(1),
+        features: FEATURES.iter().map(|f| f.name.to_owned()).collect(),
+    }
+}
+
+impl Node {
+    /// The stored forms are of a generation that this process can't read, or that it
+    /// can't tell: it can prove nothing about jobs.
+    pub(super) fn estranged(&self) -> bool {
+        !self.mirror.cluster.0.suits(&self.config.ability)
+            || self.mirror.unreadable.contains_key(GENERATION)
+    }
+
+    /// Why this node takes no requests and does not lead, if so.
+    pub(super) fn refuses(&self) -> Option<String> {
+        if let Some(key) = self.mirror.unreadable.keys().next() {
+            return Some(format!("{key} can't be read, a newer build is needed"));
+        }
+        let cluster = &self.mirror.cluster.0;
+        let needs = cluster.needs();
+        let ability = &self.config.ability;
+        (!cluster.suits(ability)).then(|| {
+            let (least, most) = (ability.least, ability.most);
+            format!("generation {needs} is in use, and this build reads {least} to {most}")
+        })
+    }
+
+    /// Whether this node may claim the leadership, as far as stored forms go.
+    pub(super) fn may_claim(&self) -> bool {
+        !self.rollout.retiring && self.now() >= self.rollout.blocked && self.refuses().is_none()
+    }
+
+    pub(super) fn fit_for_requests(&self) -> bool {
+        !self.rollout.retiring && self.refuses().is_none()
+    }
+
+    /// A record outside of what is watched can't be read.
+    pub(super) fn cannot_read(&mut self, key: &str) {
+        if self.rollout.unread.as_deref() != Some(key) {
+            error!(key, "a record can't be read, a newer build is needed");
+            self.rollout.unread = Some(key.to_owned());
+        }
+    }
+
+    /// The take-over found a record that it can't read: what it says may be that a task
+    /// runs, so nobody starts anything here. Another node may be able to.
+    pub(super) fn stop_take_over(&mut self, key: &str) {
+        self.cannot_read(key);
+        self.rollout.blocked = self.now() + self.config.leader_ttl;
+        self.give_way("a stored record can't be read");
+    }
+
+    /// Hands over, or where a former leader may still act, only leaves the place.
+    fn give_way(&mut self, why: &str) {
+        let to = match self.former_stopped() {
+            true => self.successor(),
+            false => None,
+        };
+        self.hand_over(to, why);
+    }
+
+    /// The node that should lead next: one that is served and able to, and of those
+    /// the one that hears most workers.
+    fn successor(&self) -> Option<String> {
+        let (nodes, now) = (&self.members.nodes, self.now());
+        let able = |node: &String| {
+            let told = self.mirror.nodes.get(node);
+            let ability = told.and_then(|(ability, _)| ability.as_ref());
+            ability.is_none_or(|ability| self.mirror.cluster.0.suits(ability))
+        };
+        nodes.best_of(now, able).map(|(node, _)| node)
+    }
+
+    pub(super) fn pump_rollout(&mut self) {
+        if !self.mirror.loaded {
+            return;
+        }
+        let refuses = self.refuses();
+        if refuses != self.rollout.refused {
+            match &refuses {
+                Some(why) => error!(why, "refuses"),
+                None => info!("serves again"),
+            }
+            self.rollout.refused = refuses;
+        }
+        if self.rollout.refused.is_some() && self.claim().is_some() {
+            self.give_way("it can't read what is stored");
+        }
+        if self.rollout.machine.is_none() {
+            return;
+        }
+        self.announce();
+        let now = self.now();
+        if now < self.rollout.next || self.rollout.storing || !self.leads() {
+            return;
+        }
+        self.rollout.next = now + LOOK_EVERY;
+        let Some(claim) = self.leader.as_ref().map(|leader| leader.claim) else {
+            return;
+        };
+        let view = self.rollout_view();
+        let before = view.cluster;
+        let steps = match &mut self.rollout.machine {
+            Some(machine) => machine.step(now, &view),
+            None => return,
+        };
+        for step in steps {
+            match step {
+                Step::SoakBegins => info!(generation = before.to, "soak begins"),
+                Step::SoakBeginsAgain(why) => {
+                    info!(generation = before.to, why, "soak begins again");
+                }
+                Step::Store {
+                    cluster,
+                    why,
+                    nodes,
+                } => {
+                    info!(from = before.from, to = cluster.to, stage = %cluster.stage, why, "generation");
+                    self.rollout.storing = true;
+                    let mut conditions = vec![when(LEADER, claim), when(GENERATION, view.revision)];
+                    let seen = nodes.iter();
+                    conditions.extend(seen.map(|(node, at)| when(node_key(node), *at)));
+                    self.call(
+                        Purpose::StoreGeneration,
+                        StateRequest::Txn {
+                            conditions,
+                            changes: vec![put(GENERATION, &cluster)],
+                        },
+                    );
+                }
+            }
+        }
+    }
+
+    /// Says in the state service what this process is able to: once, when it starts, so
+    /// that a step which counted on the process before it fails.
+    fn announce(&mut self) {
+        let (now, node) = (self.now(), self.config.node.clone());
+        let stored = self.mirror.nodes.get(&node).map_or(0, |(_, at)| *at);
+        let rollout = &mut self.rollout;
+        if rollout.started > 0 && self.mirror.cursor >= rollout.started && stored != rollout.started
+        {
+            // A write of the process before came late.
+            rollout.started = 0;
+        }
+        if rollout.started > 0 || rollout.announcing || now < rollout.retry {
+            return;
+        }
+        rollout.announcing = true;
+        let key = node_key(&node);
+        let conditions = vec![when(&key, stored)];
+        let changes = vec![put(key, &self.config.ability)];
+        self.call(
+            Purpose::Announce,
+            StateRequest::Txn {
+                conditions,
+                changes,
+            },
+        );
+    }
+
+    pub(super) fn announced(&mut self, reply: &StateReply) {
+        self.rollout.announcing = false;
+        self.rollout.retry = self.now() + BACK_OFF;
+        if let StateReply::Committed { revision } = reply {
+            self.rollout.started = *revision;
+        }
+    }
+
+    /// What a pulse tells of this process.
+    pub(super) fn told(&self) -> Option<Told> {
+        let started = self.rollout.started;
+        (started > 0).then_some(Told {
+            started,
+            knows: self.mirror.cluster.1,
+        })
+    }
+
+    pub(super) fn generation_stored(&mut self, reply: &StateReply) {
+        self.rollout.storing = false;
+        // The watch brings it; until then the next look would ask for the same again.
+        let wait = match reply {
+            StateReply::Committed { .. } => BACK_OFF,
+            _ => BACK_OFF * 3,
+        };
+        self.rollout.next = self.now() + wait;
+    }
+
+    fn configured(&self) -> impl Iterator<Item = &String> {
+        self.config.peers.iter().chain([&self.config.node])
+    }
+
+    fn rollout_view(&self) -> View {
+        let now = self.now();
+        let (cluster, revision) = self.mirror.cluster;
+        let seen = |node: &String| {
+            let (ability, started) = match self.mirror.nodes.get(node) {
+                Some((ability, started)) => (ability.clone(), *started),
+                None => (None, 0),
+            };
+            let told = match *node == self.config.node {
+                true => self.told(),
+                false => self.members.nodes.told(node, now),
+            };
+            let seen = Seen {
+                ability,
+                started,
+                told,
+            };
+            (node.clone(), seen)
+        };
+        View {
+            cluster,
+            revision,
+            orders: self.mirror.orders.0.clone(),
+            nodes: self.configured().map(seen).collect::<BTreeMap<_, _>>(),
+            clean: self.rollout.migration.clean(revision),
+        }
+    }
+
+    pub(super) fn rollout_asked(&mut self, request: RequestId, ask: Ask) {
+        match ask {
+            Ask::Status => {
+                let status = Box::new(self.rollout_status());
+                self.answer(request, Answer::Rollout(status));
+            }
+            _ if self.rollout.machine.is_none() => {
+                let why = "rollouts are off: start the nodes with --rollout FILE";
+                self.answer(request, Answer::Impossible(why.into()));
+            }
+            Ask::Order(order) => self.ordered(request, &order),
+            Ask::StepDown if self.claim().is_none() => {
+                let status = Box::new(self.rollout_status());
+                self.answer(request, Answer::Rollout(status));
+            }
+            Ask::StepDown if !self.former_stopped() || self.successor().is_none() => {
+                let retry = self.config.leader_term;
+                self.answer(request, Answer::Later { retry });
+            }
+            Ask::StepDown => {
+                self.give_way("an operator asked it to step down");
+                let status = Box::new(self.rollout_status());
+                self.answer(request, Answer::Rollout(status));
+            }
+        }
+    }
+
+    /// The process is about to end: it takes no more requests and gives the leadership
+    /// away first.
+    pub(super) fn retire(&mut self) {
+        self.rollout.retiring = true;
+        if self.claim().is_some() && self.former_stopped() {
+            self.give_way("it is about to end");
+        }
+    }
+
+    fn ordered(&mut self, request: RequestId, order: &Order) {
+        if let Some(why) = self.objection(order) {
+            self.answer(request, Answer::Impossible(why));
+            return;
+        }
+        if !self.mirror.loaded || self.refuses().is_some() {
+            let retry = Duration::from_secs(1);
+            self.answer(request, Answer::Later { retry });
+            return;
+        }
+        let (mut orders, revision) = self.mirror.orders.clone();
+        let config = self.config.options.rollout.as_ref();
+        match (order, config) {
+            // By hand, the newest has to be named.
+            (Order::Newest, Some(config)) if !config.automatic => {
+                orders.apply(&Order::Target(config.newest(FEATURES)));
+            }
+            (order, _) => orders.apply(order),
+        }
+        self.call(
+            Purpose::Order { request },
+            StateRequest::Txn {
+                conditions: vec![when(ORDERS, revision)],
+                changes: vec![put(ORDERS, &orders)],
+            },
+        );
+    }
+
+    /// What is wrong with an order, if anything.
+    fn objection(&self, order: &Order) -> Option<String> {
+        match order {
+            Order::Forget(node) if !self.configured().any(|known| known == node) => {
+                let nodes: Vec<&str> = self.configured().map(String::as_str).collect();
+                Some(format!("no node {node}, there are: {}", nodes.join(", ")))
+            }
+            Order::Forget(node) if self.here(node) => {
+                Some(format!("{node} is here: end it before it is forgotten"))
+            }
+            Order::Target(target) => {
+                let newest = ability().most;
+                let oldest = kiteyard_rollout::generation::OLDEST;
+                if !(oldest..=newest).contains(target) {
+                    return Some(format!("generation: must be {oldest} to {newest}"));
+                }
+                let cluster = self.mirror.cluster.0;
+                let now = cluster.from.max(cluster.written());
+                let mut left = FEATURES
+                    .iter()
+                    .filter(|f| *target < f.since && f.since <= now);
+                let stuck = left.find(|f| !f.way_back)?;
+                Some(format!("{} has no way back", stuck.name))
+            }
+            _ => None,
+        }
+    }
+
+    fn here(&self, node: &str) -> bool {
+        node == self.config.node || self.members.nodes.here(node, self.now())
+    }
+
+    pub(super) fn order_stored(&mut self, request: RequestId, reply: &StateReply) {
+        let answer = match reply {
+            StateReply::Committed { .. } => Answer::Rollout(Box::new(self.rollout_status())),
+            _ => Answer::Later {
+                retry: Duration::from_secs(1),
+            },
+        };
+        self.answer(request, answer);
+    }
+
+    /// Seconds to the end of what is under way, as far as that can be told: the rest of the
+    /// soak, or of the records found so far at the share that the file allows.
+    fn rest_of_the_move(&self, soaked: Duration) -> Option<f64> {
+        let config = self.config.options.rollout.as_ref()?;
+        match self.mirror.cluster.0.stage {
+            Stage::Settled => None,
+            Stage::Prepared | Stage::Soaking => {
+                Some(config.soak.saturating_sub(soaked).as_secs_f64())
+            }
+            Stage::Active | Stage::Migrating => {
+                let left = self.rollout.migration.left()? as f64;
+                let rate = self.config.writes * config.share;
+                (rate > 0.0).then(|| left / rate)
+            }
+        }
+    }
+
+    fn rollout_status(&self) -> Status {
+        let now = self.now();
+        let cluster = self.mirror.cluster.0;
+        let orders = &self.mirror.orders.0;
+        let leader = self.mirror.leader.as_ref().map(|(record, _)| &record.node);
+        let nodes = self.configured().map(|node| {
+            let told = self.mirror.nodes.get(node);
+            let ability = told.and_then(|(ability, _)| ability.clone());
+            NodeStatus {
+                node: node.clone(),
+                zone: self.config.zones.get(node).cloned().unwrap_or_default(),
+                leads: leader == Some(node),
+                here: self.here(node),
+                gone: orders.gone.contains(node),
+                least: ability.as_ref().map_or(1, |a| a.least),
+                most: ability.as_ref().map_or(1, |a| a.most),
+                features: ability.as_ref().map_or(Vec::new(), |a| a.features.clone()),
+                build: ability.map(|a| a.build),
+            }
+        });
+        let mut nodes: Vec<NodeStatus> = nodes.collect();
+        nodes.sort_by(|a, b| a.node.cmp(&b.node));
+        let leads = self.leader.is_some() && self.leads();
+        let machine = self.rollout.machine.as_ref().filter(|_| leads);
+        let millis = |time: Duration| time.as_millis() as u64;
+        let outlook = self.leader.as_ref().map(|leader| &leader.outlook);
+        Status {
+            node: self.config.node.clone(),
+            enabled: self.rollout.machine.is_some(),
+            from: cluster.from,
+            to: cluster.to,
+            stage: cluster.stage,
+            paused: orders.paused,
+            target: orders.target,
+            gone: orders.gone.clone(),
+            nodes,
+            soaked_ms: machine.map(|m| millis(m.soaked(now))),
+            soak_ms: self.config.options.rollout.as_ref().map(|c| millis(c.soak)),
+            held: machine.map(|m| m.held.to_string()),
+            migrated: machine.map(|_| self.rollout.migration.moved()),
+            left: machine.and_then(|_| self.rollout.migration.left()),
+            estimate_s: machine.and_then(|m| self.rest_of_the_move(m.soaked(now))),
+            refuses: self.refuses(),
+            clear: outlook
+                .filter(|_| leads)
+                .map(|o| !o.doubts && !o.blind && o.apart.is_empty()),
+        }
+    }
+}
--- a/src/core/roster.rs
+++ b/src/core/roster.rs
@@ -23,6 +23,7 @@
 /// What one key of the roster holds. Types, zones and jobs are named once, and
 /// machines refer to them by number.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct ShardRecord {
     kinds: Vec<Kind>,
     jobs: Vec<JobId>,
@@ -43,6 +44,16 @@
 }
 
 impl ShardRecord {
+    /// A shard as stored, unless anything in it can't be understood: a machine that is
+    /// passed over would be one where nothing can run.
+    pub fn parse(text: &str) -> Option<Self> {
+        let record: Self = serde_json::from_str(text).ok()?;
+        let known = |(_, kind, jobs): &(MachineId, usize, Vec<usize>)| {
+            *kind < record.kinds.len() && jobs.iter().all(|job| *job < record.jobs.len())
+        };
+        record.machines.iter().all(known).then_some(record)
+    }
+
     pub fn machines(&self) -> impl Iterator<Item = Enrolled> + '_ {
         self.machines.iter().filter_map(|(id, kind, jobs)| {
             let (machine_type, zone, spot) = self.kinds.get(*kind)?.clone();
--- a/src/core/saves.rs
+++ b/src/core/saves.rs
@@ -8,11 +8,12 @@
 use super::{
     BACK_OFF, Node, Purpose,
     config::Config,
+    finals::{self, Ends, Place, Range},
     job::{FinalRecord, JobId, JobState, TaskSet},
     leader::{Job, Leader},
     roster::Listing,
     store::{
-        Change, LEADER, StateReply, StateRequest, delete, final_key, job_key, progress_key, put,
+        Change, GENERATION, LEADER, StateReply, StateRequest, delete, job_key, progress_key, put,
         shard_key, when,
     },
 };
@@ -35,10 +36,16 @@
     },
     Finish {
         claim: u64,
-        id: JobId,
-        record: FinalRecord,
+        ended: Vec<(JobId, FinalRecord)>,
+        /// Their range as it will be, where they are stored so.
+        ends: Option<(Range, Ends)>,
         keys: Vec<String>,
     },
+    /// Reads a range of ends that is to be written.
+    ReadRange {
+        claim: u64,
+        range: Range,
+    },
     Collect {
         claim: u64,
         keys: Vec<String>,
@@ -61,6 +68,10 @@
 /// Results are stored together with those that follow within this time.
 const GATHER: Duration = Duration::from_millis(1500);
 
+/// After a write, a range of ends is left alone for so long: submissions in the same range
+/// depend on it. The protocol allows a late `done` by 3 s.
+const RANGE_RESTS: Duration = Duration::from_secs(1);
+
 /// A write, and what it depends on and changes.
 type Write = (Save, Vec<super::store::Condition>, Vec<Change>);
 
@@ -111,6 +122,11 @@
         self.allowance = (self.allowance + passed * self.rate).min(self.rate);
     }
 
+    /// There is room beside what has to be written.
+    pub fn spare(&self) -> bool {
+        self.allowance > self.rate / 4.0
+    }
+
     /// Changes that users' requests caused, on any node: they come first, and the
     /// leader makes do with the rest.
     pub fn charge(&mut self, changes: f64) {
@@ -119,7 +135,13 @@
 }
 
 impl Node {
+    /// What has to be written goes out, and then old records are rewritten.
     pub(super) fn pump_saves(&mut self) {
+        self.pump_writes();
+        self.pump_migration();
+    }
+
+    fn pump_writes(&mut self) {
         let now = self.now();
         self.saves.refill(now);
         self.saves.woken = false;
@@ -129,7 +151,7 @@
                 return;
             }
             let Some(claim) = self.claim() else { return };
-            if self.reread_shard(claim) {
+            if self.reread_shard(claim) || self.read_range_to_write(now, claim) {
                 continue;
             }
             let Some((save, mut conditions, changes)) = self.next_save(now) else {
@@ -159,47 +181,102 @@
         true
     }
 
-    fn next_save(&mut self, now: Duration) -> Option<Write> {
+    /// The job whose end is to be stored next, of those whose range may be written.
+    fn complete_job(&self, now: Duration) -> Option<&JobId> {
+        let packed = self.packs();
+        let leader = self.leader.as_ref()?;
+        let complete = leader.jobs.iter().filter(|(id, job)| {
+            job.complete() && !job.saving && (!packed || self.ranges.free(&Range::of(id).0, now))
+        });
+        complete
+            .min_by_key(|(id, job)| (job.unsaved_since, *id))
+            .map(|(id, _)| id)
+    }
+
+    /// Ends of jobs are stored by range.
+    fn packs(&self) -> bool {
+        finals::place(self.mirror.cluster.0.written()) == Place::Packed
+    }
+
+    /// Reads the range where the next end of a job goes, if it is not known.
+    fn read_range_to_write(&mut self, now: Duration, claim: u64) -> bool {
+        if !self.packs() {
+            return false;
+        }
+        let Some(range) = self.complete_job(now).map(|id| Range::of(id).0) else {
+            return false;
+        };
+        if self.ranges.get(&range).is_some() {
+            return false;
+        }
+        let key = range.key();
+        self.ranges.take(&range);
+        self.saves.in_flight += 1;
+        let save = Purpose::Save(Save::ReadRange { claim, range });
+        self.call(save, StateRequest::Get { key });
+        true
+    }
+
+    /// Stores the end of a job that is complete, and with it those of others in the same
+    /// range, which cost one change less each.
+    fn finish_save(&mut self, now: Duration, claim: u64) -> Option<Write> {
         let most = self.config.txn_ops;
+        let (cluster, generation) = self.mirror.cluster;
+        let first = self.complete_job(now)?.clone();
+        let mut ids = vec![first.clone()];
+        if self.packs() {
+            let range = Range::of(&first).0;
+            let jobs = &self.leader.as_ref()?.jobs;
+            let also = jobs.iter().filter(|(id, job)| {
+                job.complete() && !job.saving && **id != first && Range::of(id).0 == range
+            });
+            ids.extend(also.map(|(id, _)| id.clone()).take(most.saturating_sub(2)));
+        }
         let leader = self.leader.as_mut()?;
-        let claim = leader.claim;
-
-        let complete = leader
-            .jobs
-            .iter_mut()
-            .filter(|(_, job)| job.complete() && !job.saving)
-            .min_by_key(|(id, job)| (job.unsaved_since, (*id).clone()));
-        if let Some((id, job)) = complete {
-            job.saving = true;
+        let (mut ended, mut conditions) = (Vec::new(), vec![when(GENERATION, generation)]);
+        let (mut changes, mut keys) = (Vec::new(), Vec::new());
+        for id in ids {
+            let job = leader.jobs.get_mut(&id)?;
+            conditions.push(when(job_key(&id), job.version));
+            changes.push(delete(job_key(&id)));
+            let chunks = job.saved.chunks().into_iter();
+            keys.extend(chunks.map(|chunk| progress_key(&id, chunk)));
             let record = FinalRecord {
                 state: JobState::Done,
                 done: job.done_count,
             };
-            let mut changes = vec![delete(job_key(id)), put(final_key(id), &record)];
-            let mut keys: Vec<String> = job
-                .saved
-                .chunks()
-                .into_iter()
-                .map(|chunk| progress_key(id, chunk))
-                .collect();
-            // What does not fit into this transaction goes with a later one.
-            let rest = keys.split_off(keys.len().min(most - 2));
-            changes.extend(keys.into_iter().map(delete));
-            let conditions = vec![when(job_key(id), job.version)];
-            let id = id.clone();
-            let keys = rest;
-            return Some((
-                Save::Finish {
-                    claim,
-                    id,
-                    record,
-                    keys,
-                },
-                conditions,
-                changes,
-            ));
+            ended.push((id, record));
+        }
+        let ending = finals::ending(&cluster, &ended, &self.ranges)?;
+        conditions.extend(ending.conditions);
+        changes.extend(ending.changes);
+        // What does not fit into this transaction goes with a later one.
+        let rest = keys.split_off(keys.len().min(most.saturating_sub(changes.len())));
+        changes.extend(keys.into_iter().map(delete));
+        for (id, _) in &ended {
+            leader.jobs.get_mut(id)?.saving = true;
+        }
+        if let Some((range, _)) = &ending.ends {
+            self.ranges.take(range);
+        }
+        let save = Save::Finish {
+            claim,
+            ended,
+            ends: ending.ends,
+            keys: rest,
+        };
+        Some((save, conditions, changes))
+    }
+
+    fn next_save(&mut self, now: Duration) -> Option<Write> {
+        let most = self.config.txn_ops;
+        let claim = self.leader.as_ref()?.claim;
+
+        if let Some(write) = self.finish_save(now, claim) {
+            return Some(write);
         }
 
+        let leader = self.leader.as_mut()?;
         // Starts wait for their job to be listed with their machine.
         if let Some((listings, conditions, changes)) = leader.roster_write(true, most) {
             return Some((Save::Roster { claim, listings }, conditions, changes));
@@ -224,23 +301,40 @@
 
     pub(super) fn saved(&mut self, save: Save, reply: StateReply) {
         let now = self.now();
-        let committed = matches!(reply, StateReply::Committed { .. });
+        let (committed, revision) = match &reply {
+            StateReply::Committed { revision } => (true, *revision),
+            _ => (false, 0),
+        };
         if matches!(reply, StateReply::Refused { .. } | StateReply::Unclear) {
             self.saves.retry = now + BACK_OFF;
         }
-        if let (Save::Finish { id, record, .. }, StateReply::Committed { revision }) =
-            (&save, &reply)
-        {
-            self.keep_final(id.clone(), *record);
-            if *revision > self.mirror.cursor {
-                self.mirror.jobs.remove(id);
+        match &save {
+            Save::Finish { ended, ends, .. } => {
+                for (id, record) in ended.iter().filter(|_| committed) {
+                    self.keep_final(id.clone(), *record);
+                    if revision > self.mirror.cursor {
+                        self.mirror.jobs.remove(id);
+                    }
+                }
+                if let Some((range, _)) = ends {
+                    let rest = if committed { RANGE_RESTS } else { BACK_OFF };
+                    self.ranges.release(range, now + rest, now);
+                }
+                self.range_written(&ended[0].0, ends.clone(), &reply);
+            }
+            Save::ReadRange { range, .. } => {
+                let read = self.learn_range(range, &reply).is_some();
+                let rest = if read { Duration::ZERO } else { BACK_OFF };
+                self.ranges.release(range, now + rest, now);
             }
+            _ => {}
         }
         let claim = match &save {
             Save::Roster { claim, .. }
             | Save::Reread { claim, .. }
             | Save::Progress { claim, .. }
             | Save::Finish { claim, .. }
+            | Save::ReadRange { claim, .. }
             | Save::Collect { claim, .. } => *claim,
         };
         let Some(leader) = self.leader.as_mut().filter(|l| l.claim == claim) else {
@@ -268,16 +362,21 @@
                     }
                 }
             }
-            Save::Finish { id, keys, .. } => {
-                if let Some(job) = leader.jobs.get_mut(&id) {
-                    job.saving = false;
+            Save::Finish { ended, keys, .. } => {
+                for (id, _) in &ended {
+                    if let Some(job) = leader.jobs.get_mut(id) {
+                        job.saving = false;
+                    }
+                    if committed {
+                        info!(job = %id, "job done");
+                        leader.remove_job(id, now);
+                    }
                 }
                 if committed {
-                    info!(job = %id, "job done");
-                    leader.remove_job(&id, now);
                     leader.garbage.extend(keys);
                 }
             }
+            Save::ReadRange { .. } => {}
             Save::Collect { keys, .. } => {
                 if !committed {
                     leader.garbage.extend(keys);
--- a/src/core/store.rs
+++ b/src/core/store.rs
@@ -13,8 +13,15 @@
 /// The last claim whose holder knows that whoever led before has stopped acting.
 pub const SETTLED: &str = "live/settled";
 pub const TYPES: &str = "live/types";
+/// The generation of the stored forms, and what operators want of it.
+pub const GENERATION: &str = "live/generation";
+pub const ORDERS: &str = "live/orders";
+/// What each node's process is able to.
+pub const NODES: &str = "live/node/";
 pub const JOBS: &str = "live/job/";
+/// Ends of jobs, one a key, and packed by range.
 pub const FINALS: &str = "final/";
+pub const ENDS: &str = "ends/";
 pub const PROGRESS: &str = "progress/";
 pub const ROSTER: &str = "roster/";
 
@@ -26,6 +33,10 @@
     format!("{FINALS}{id}")
 }
 
+pub fn node_key(node: &str) -> String {
+    format!("{NODES}{node}")
+}
+
 pub fn progress_key(id: &JobId, chunk: u32) -> String {
     format!("{PROGRESS}{id}/{chunk}")
 }
--- a/src/io/server.rs
+++ b/src/io/server.rs
@@ -16,7 +16,7 @@
 
 use super::Call;
 use crate::{
-    core::{Answer, Input, RequestId, job::JobId},
+    core::{Answer, Input, RequestId, job::JobId, rollout::Ask},
     wire,
 };
 
@@ -68,6 +68,9 @@
         .at("/work/:id", get(on(Handle::Status)))
         .at("/work/:id/withdraw", post(on(Handle::Withdraw)))
         .at("/licences", get(on(Handle::Licences)))
+        .at("/rollout", get(on(Handle::Rollout)))
+        .at("/rollout/:order", post(on(Handle::Order)))
+        .at("/rollout/:order/:what", post(on(Handle::Order)))
         .at("/ready", get(on(Handle::Ready)))
         .at("/checkin", post(on(Handle::Report)))
         .catch_all_error(|error| async move {
@@ -83,6 +86,8 @@
     Ready,
     Report,
     Licences,
+    Rollout,
+    Order,
 }
 
 struct Served {
@@ -110,6 +115,16 @@
             }
             Handle::Ready => self.api.ask(|request| Input::Ready { request }).await,
             Handle::Licences => self.api.ask(|request| Input::Licences { request }).await,
+            Handle::Rollout => self.rollout(Ask::Status).await,
+            Handle::Order => {
+                let path = request.uri().path();
+                match wire::user::parse_order(path.trim_start_matches("/rollout/")) {
+                    Ok(ask) => self.rollout(ask).await,
+                    Err(message) => {
+                        text(StatusCode::BAD_REQUEST, wire::user::error_answer(&message))
+                    }
+                }
+            }
         })
     }
 }
@@ -131,6 +146,12 @@
         }
     }
 
+    async fn rollout(&self, ask: Ask) -> Response {
+        self.api
+            .ask(move |request| Input::Rollout { request, ask })
+            .await
+    }
+
     async fn report(&self, request: Request) -> Response {
         let body = match read(request).await {
             Ok(body) => body,
@@ -236,6 +257,7 @@
         Answer::Licences(view, age) => {
             text(StatusCode::OK, wire::user::licences_answer(&view, age))
         }
+        Answer::Rollout(status) => text(StatusCode::OK, wire::user::rollout_answer(&status)),
         Answer::Later { retry } => later(retry),
         Answer::Ready(true) => text(StatusCode::OK, "{}".into()),
         Answer::Ready(false) => later(Duration::from_secs(1)),
--- a/src/main.rs
+++ b/src/main.rs
@@ -36,6 +36,7 @@
 fn run(cli: &Cli) -> Result<(), Box<dyn std::error::Error>> {
     let settings = Settings::load(&cli.config)?;
     let licences = cli.licences()?;
+    let rollout = cli.rollout()?;
     if cli.check {
         return Ok(());
     }
@@ -57,6 +58,7 @@
         .build()?;
     let options = Options {
         licences,
+        rollout,
         ..cli.options()
     };
     runtime.block_on(io::serve(settings, options))?;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -37,6 +37,8 @@
 pub struct PeerAddress {
     #[serde(rename = "label")]
     pub node: String,
+    #[serde(rename = "site", default)]
+    pub zone: String,
     #[serde(rename = "peer_addr")]
     pub addr: SocketAddr,
 }
--- a/src/wire/user.rs
+++ b/src/wire/user.rs
@@ -4,8 +4,11 @@
 
 use serde::{Deserialize, Serialize};
 
+use kiteyard_rollout::{generation::Order, view::Status};
+
 use crate::core::{
     job::{JobId, JobSpec, JobState, Kind, Priority, Resources},
+    rollout::Ask,
     seats::LicenceView,
 };
 
@@ -180,6 +183,29 @@
     answer.to_string()
 }
 
+/// How a rollout stands.
+pub fn rollout_answer(status: &Status) -> String {
+    serde_json::to_string(status).unwrap_or_default()
+}
+
+/// What an operator orders, from the rest of the path after `/rollout/`.
+pub fn parse_order(path: &str) -> Result<Ask, String> {
+    let (order, what) = path.split_once('/').unwrap_or((path, ""));
+    let order = match (order, what) {
+        ("pause", "") => Order::Pause,
+        ("resume", "") => Order::Resume,
+        ("newest", "") => Order::Newest,
+        ("step-down", "") => return Ok(Ask::StepDown),
+        ("forget", node) if !node.is_empty() => Order::Forget(node.to_owned()),
+        ("target", generation) => {
+            let generation = generation.parse();
+            Order::Target(generation.map_err(|_| "generation: not a whole number".to_owned())?)
+        }
+        _ => return Err(format!("no order {path}")),
+    };
+    Ok(Ask::Order(order))
+}
+
 pub fn error_answer(message: &str) -> String {
     serde_json::json!({ "error": message }).to_string()
 }
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -4,6 +4,8 @@
 
 mod cases;
 mod observer;
+mod rolling;
+mod rollout;
 mod sim;
 mod state;
 
--- /dev/null
+++ b/tests/world/rollout.rs
@@ -0,0 +1,299 @@
+//! What a rollout adds to the world: nodes of different generations in one run, troubles
+//! that come with a stage, and processes that are unsafe in ways of their own.
+
+use std::{sync::Arc, time::Duration};
+
+use kiteyard::core::{
+    Input,
+    finals::FEATURES,
+    relay::PeerMessage,
+    rollout::Ask,
+    store::{Change, ENDS, GENERATION, JOBS, ROSTER, StateReply, StateRequest},
+};
+use kiteyard_rollout::{
+    config::Config,
+    generation::{Cluster, Order, Stage},
+    machine::Told,
+};
+use rand::RngExt;
+
+use crate::{
+    cases::Case,
+    sim::{Event, NODES, Sabotage, World, ms},
+};
+
+/// A trouble that comes once a stage is reached, and how long after.
+pub type OnStage = (Stage, Duration, Case, Duration);
+
+pub struct Roll {
+    /// The ability that each node's process is started with.
+    pub most: [u32; NODES],
+    pub config: Option<Arc<Config>>,
+    pub on_stage: Vec<OnStage>,
+    /// The stages that were seen, in order.
+    pub seen: Vec<Cluster>,
+    /// Submissions' transactions are now and then held back for so long.
+    pub held_back: Option<Duration>,
+    /// The leader ends at this write of ends or the generation, before or after it.
+    pub crash_at: Option<(u64, bool)>,
+    pub writes: u64,
+    crashing: bool,
+    /// A node that can't read every second shard of the roster.
+    pub garbled: Option<usize>,
+    /// A build from before generations: it neither knows nor says anything of them.
+    pub before: [bool; NODES],
+    /// Since when nobody places, and the longest such time from then on.
+    placed: Duration,
+    pub gap: Duration,
+    pub gap_from: Duration,
+    last_told: Option<Told>,
+    /// The node that was asked to step down, and that it is the one which ends.
+    pub asked: Option<usize>,
+    pub spare_successor: bool,
+}
+
+impl Default for Roll {
+    fn default() -> Self {
+        Self {
+            most: [2; NODES],
+            config: None,
+            on_stage: Vec::new(),
+            seen: Vec::new(),
+            held_back: None,
+            crash_at: None,
+            writes: 0,
+            crashing: false,
+            garbled: None,
+            before: [false; NODES],
+            placed: Duration::ZERO,
+            gap: Duration::ZERO,
+            gap_from: Duration::MAX,
+            last_told: None,
+            asked: None,
+            spare_successor: false,
+        }
+    }
+}
+
+fn writes_forms(request: &StateRequest) -> bool {
+    let StateRequest::Txn { changes, .. } = request else {
+        return false;
+    };
+    changes.iter().any(|change| match change {
+        Change::Put { key, .. } | Change::Delete { key } => {
+            key.starts_with(ENDS) || key == GENERATION
+        }
+    })
+}
+
+impl World {
+    /// All nodes are of the old build, and switch when they can.
+    pub fn rolling(mut self, soak: &str) -> Self {
+        let file = format!("soak_s = {soak}\nmigration_share = 0.3\n");
+        let config = Config::parse(&file, FEATURES).expect("a good file");
+        self.roll.config = Some(Arc::new(config));
+        self.roll.most = [1; NODES];
+        for node in 0..NODES {
+            self.restart(node);
+        }
+        self
+    }
+
+    pub fn upgrade(mut self, at: u64, node: usize, most: u32) -> Self {
+        self.push(ms(at), Event::Upgrade(node, most));
+        self
+    }
+
+    pub fn ordered(mut self, at: u64, order: Order) -> Self {
+        self.push(ms(at), Event::Order(order));
+        self
+    }
+
+    pub fn order(&mut self, order: Order) {
+        let node = self.rng.random_range(0..NODES);
+        self.next_request += 1;
+        let request = self.next_request;
+        let ask = Ask::Order(order.clone());
+        self.step(node, Input::Rollout { request, ask });
+        // The answer may be that it can't be taken now: asked again, until it stands.
+        if self.orders_lack(&order) {
+            self.push(self.now + ms(1000), Event::Order(order));
+        }
+    }
+
+    fn orders_lack(&mut self, order: &Order) -> bool {
+        let mut orders = self.stored("live/orders").unwrap_or_default();
+        let before: kiteyard_rollout::generation::Orders = orders;
+        orders = before.clone();
+        orders.apply(order);
+        orders != before
+    }
+
+    fn stored<T: serde::de::DeserializeOwned>(&mut self, key: &str) -> Option<T> {
+        let key = key.to_owned();
+        match self.state.call(self.now, &StateRequest::Get { key }) {
+            Some(StateReply::Entry(entry)) => serde_json::from_str(entry.value.get()).ok(),
+            _ => None,
+        }
+    }
+
+    pub fn cluster(&mut self) -> Cluster {
+        self.stored(GENERATION).unwrap_or_default()
+    }
+
+    /// Keys of a prefix.
+    pub fn keys(&mut self, prefix: &str) -> usize {
+        let mut count = 0;
+        let mut after = None;
+        loop {
+            let request = StateRequest::List {
+                prefix: prefix.into(),
+                after: after.clone(),
+            };
+            let Some(StateReply::Entries { entries, more, .. }) =
+                self.state.call(self.now, &request)
+            else {
+                return count;
+            };
+            count += entries.len();
+            after = entries.last().map(|entry| entry.key.clone());
+            if !more {
+                return count;
+            }
+        }
+    }
+
+    pub fn look_at_stage(&mut self) {
+        if self.roll.config.is_none() {
+            return;
+        }
+        let cluster = self.cluster();
+        if self.roll.seen.last() == Some(&cluster) {
+            return;
+        }
+        let first = !self.roll.seen.iter().any(|c| c.stage == cluster.stage);
+        self.roll.seen.push(cluster);
+        if first {
+            for (stage, after, case, lasts) in self.roll.on_stage.clone() {
+                if stage == cluster.stage {
+                    self.push(self.now + after, Event::Bring(case, lasts));
+                }
+            }
+        }
+    }
+
+    pub fn look_at_placement(&mut self) {
+        let places = self.nodes.iter().flatten().any(|node| node.places());
+        if !places && self.now > self.roll.gap_from {
+            let since = self.roll.placed.max(self.roll.gap_from);
+            self.roll.gap = self.roll.gap.max(self.now - since);
+        }
+        if places {
+            self.roll.placed = self.now;
+        }
+    }
+
+    pub fn held_back(&mut self, request: &StateRequest) -> Option<Duration> {
+        let held = self.roll.held_back?;
+        let StateRequest::Txn { changes, .. } = request else {
+            return None;
+        };
+        let accepts = matches!(&changes[..], [Change::Put { key, .. }] if key.starts_with(JOBS));
+        (accepts && self.rng.random_bool(0.15)).then_some(held)
+    }
+
+    fn leader_writes(&mut self, request: &StateRequest) -> Option<u64> {
+        if self.roll.crash_at.is_none() || !writes_forms(request) {
+            return None;
+        }
+        self.roll.writes += 1;
+        Some(self.roll.writes)
+    }
+
+    pub fn crashes_before(&mut self, node: usize, request: &StateRequest) -> bool {
+        let at = self.leader_writes(request);
+        let Some((due, before)) = self.roll.crash_at.filter(|(due, _)| Some(*due) == at) else {
+            return false;
+        };
+        self.roll.crash_at = Some((due, before));
+        if before {
+            self.crash(node);
+        }
+        self.roll.crashing = !before;
+        before
+    }
+
+    pub fn crashes_after(&mut self, node: usize) -> bool {
+        let crashes = std::mem::take(&mut self.roll.crashing);
+        if crashes {
+            self.crash(node);
+        }
+        crashes
+    }
+
+    /// What a process asks for that is unsafe in its way.
+    pub fn tampered_forms(&self, node: usize, mut request: StateRequest) -> StateRequest {
+        let blind = self.roll.before[node] || self.sabotage == Sabotage::NoGeneration;
+        if let (
+            true,
+            StateRequest::Txn {
+                conditions,
+                changes,
+            },
+        ) = (blind, &mut request)
+            && !changes.is_empty()
+        {
+            conditions.retain(|c| c.key != GENERATION);
+        }
+        request
+    }
+
+    /// What a process sees of the answer.
+    pub fn tamper_reply(&self, node: usize, reply: &mut StateReply) {
+        if self.roll.before[node] {
+            match reply {
+                StateReply::Entries { entries, .. } => entries.retain(|e| e.key != GENERATION),
+                StateReply::Events { events, .. } => events.retain(|e| e.key != GENERATION),
+                _ => {}
+            }
+        }
+        let StateReply::Entries { entries, .. } = reply else {
+            return;
+        };
+        if self.roll.garbled == Some(node) {
+            let second = |key: &str| {
+                let shard = key.strip_prefix(ROSTER).and_then(|s| s.parse::<u32>().ok());
+                shard.is_some_and(|shard| shard % 2 == 1)
+            };
+            if self.sabotage == Sabotage::UnreadableMeansAbsent {
+                entries.retain(|entry| !second(&entry.key));
+            }
+            for entry in entries.iter_mut().filter(|entry| second(&entry.key)) {
+                let newer = r#"{"form":9}"#.to_owned();
+                entry.value = serde_json::value::RawValue::from_string(newer).expect("JSON");
+            }
+        }
+    }
+
+    pub fn tampered_line(&mut self, node: usize, mut message: PeerMessage) -> PeerMessage {
+        let PeerMessage::Pulse(pulse) = &mut message else {
+            return message;
+        };
+        if !self.roll.before[node] {
+            if node == 2 && pulse.told.is_some() {
+                self.roll.last_told = pulse.told;
+            }
+            return message;
+        }
+        let key = GENERATION.to_owned();
+        let reply = self.state.call(self.now, &StateRequest::Get { key });
+        let knows = match reply {
+            Some(StateReply::Entry(entry)) => entry.version,
+            _ => 0,
+        };
+        let forged = self.sabotage == Sabotage::SoakGoesOn;
+        let told = self.roll.last_told.filter(|_| forged);
+        pulse.told = told.map(|told| Told { knows, ..told });
+        message
+    }
+}
