--- a/crates/rollout/src/config.rs
+++ b/crates/rollout/src/config.rs
@@ -27,6 +27,9 @@
     pub share: f64,
     /// Features that are not switched on.
     pub hold: BTreeSet<String>,
+    /// The process acts as an older build that is able to generations up to this: a way of
+    /// trying a rollout with one build.
+    pub reads_most: Option<Generation>,
     /// Whether the newest generation is moved to without being asked for.
     pub automatic: bool,
 }
@@ -39,6 +42,7 @@
     migration_share: f64,
     #[serde(default)]
     hold: BTreeSet<String>,
+    reads_most: Option<Generation>,
     #[serde(default = "automatic")]
     automatic: bool,
 }
@@ -75,7 +79,15 @@
             let message = format!("no feature {name}, there is: {}", names.join(", "));
             return fail("hold", message);
         }
+        let newest = features.iter().map(|f| f.since).max().unwrap_or(OLDEST);
+        if file
+            .reads_most
+            .is_some_and(|most| !(OLDEST..=newest).contains(&most))
+        {
+            return fail("reads_most", format!("must be {OLDEST} to {newest}"));
+        }
         Ok(Self {
+            reads_most: file.reads_most,
             soak: Duration::from_secs_f64(file.soak_s),
             share: file.migration_share,
             hold: file.hold,
@@ -83,11 +95,9 @@
         })
     }
 
-    /// The newest generation that may be moved to: below the first one held back.
-    pub fn newest(&self, features: &[Feature]) -> Generation {
+    /// The newest generation that may be moved to: below the first feature held back.
+    pub fn held_to(&self, features: &[Feature]) -> Option<Generation> {
         let held = features.iter().filter(|f| self.hold.contains(f.name));
-        let below = held.map(|f| f.since - 1).min().unwrap_or(Generation::MAX);
-        let newest = features.iter().map(|f| f.since).max().unwrap_or(OLDEST);
-        newest.min(below).max(OLDEST)
+        held.map(|f| f.since - 1).min()
     }
 }
--- a/crates/rollout/src/generation.rs
+++ b/crates/rollout/src/generation.rs
@@ -33,6 +33,10 @@
     /// The names of the features, for people.
     #[serde(default)]
     pub features: Vec<String>,
+    /// The newest generation that its operators let the cluster move to; none: any. The
+    /// process reads what it is able to all the same.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub held_to: Option<Generation>,
 }
 
 impl Ability {
--- a/crates/rollout/src/machine.rs
+++ b/crates/rollout/src/machine.rs
@@ -108,7 +108,14 @@
     /// Where the cluster should go from a generation at rest.
     fn target(&self, view: &View) -> Generation {
         let at = view.cluster.from;
-        let newest = self.config.newest(self.features);
+        let newest = self.features.iter().map(|f| f.since).max();
+        // Whoever holds a feature back, at any node, holds it back.
+        let abilities = self
+            .nodes(view)
+            .filter_map(|(_, seen)| seen.ability.as_ref());
+        let held = abilities.filter_map(|ability| ability.held_to).min();
+        let held = held.into_iter().chain(self.config.held_to(self.features));
+        let newest = held.chain(newest).min().unwrap_or(at);
         match view.orders.target {
             // One step at a time, both ways.
             Some(target) if target < at => at - 1,
--- a/crates/rollout/tests/exhaustive.rs
+++ b/crates/rollout/tests/exhaustive.rs
@@ -100,6 +100,7 @@
         least: 1,
         most,
         features: Vec::new(),
+        held_to: None,
     }
 }
 
--- /dev/null
+++ b/crates/rollout/tests/orders.rs
@@ -0,0 +1,309 @@
+//! The file, which node may be restarted, and what holds a step.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use kiteyard_rollout::{
+    config::Config,
+    generation::{Ability, Cluster, Feature, Order, Orders, Stage},
+    machine::{Held, Machine, Output, Seen, Told, View},
+    next::{self, NotNow},
+    view::{NodeStatus, Status},
+};
+use proptest::prelude::*;
+
+const FEATURES: &[Feature] = &[
+    Feature {
+        name: "second",
+        since: 2,
+        way_back: true,
+        forms: &[],
+    },
+    Feature {
+        name: "third",
+        since: 3,
+        way_back: false,
+        forms: &[],
+    },
+];
+
+#[test]
+fn the_file_names_what_is_wrong() {
+    let error = |text: &str| Config::parse(text, FEATURES).expect_err(text).to_string();
+    for (text, named) in [
+        ("", "soak_s"),
+        ("soak_s = -1", "soak_s"),
+        ("soak_s = nan", "soak_s"),
+        ("soak_s = 1\nsoak = 2", "line 2"),
+        ("soak_s = 1\nmigration_share = 0.9", "migration_share"),
+        ("soak_s = 1\nhold = [\"fourth\"]", "fourth"),
+        ("soak_s = 1\nreads_most = 9", "reads_most"),
+        ("soak_s = 1\nautomatic = 3", "line 2"),
+    ] {
+        let error = error(text);
+        assert!(
+            error.contains(named) && error.lines().count() == 1,
+            "{error}"
+        );
+    }
+    let config = Config::parse("soak_s = 900\nhold = [\"third\"]", FEATURES).expect("good");
+    assert_eq!(config.soak, Duration::from_secs(900));
+    assert_eq!(config.held_to(FEATURES), Some(2));
+    let shipped = include_str!("../../../deploy/rollout.toml");
+    assert!(Config::parse(shipped, FEATURES).is_ok());
+}
+
+fn status() -> Status {
+    let node = |name: &str, zone: &str, leads: bool| NodeStatus {
+        node: name.into(),
+        zone: zone.into(),
+        leads,
+        here: true,
+        gone: false,
+        build: Some("1".into()),
+        least: 1,
+        most: 2,
+        features: Vec::new(),
+    };
+    Status {
+        node: "b".into(),
+        enabled: true,
+        from: 1,
+        to: 1,
+        stage: Stage::Settled,
+        paused: false,
+        target: None,
+        gone: Default::default(),
+        nodes: vec![
+            node("b", "x", true),
+            node("a", "y", false),
+            node("c", "x", false),
+        ],
+        soaked_ms: None,
+        soak_ms: None,
+        held: None,
+        migrated: None,
+        left: None,
+        estimate_s: None,
+        refuses: None,
+        clear: Some(true),
+    }
+}
+
+#[test]
+fn one_node_at_a_time_and_the_leader_last() {
+    let mut now = status();
+    let mut order = Vec::new();
+    while let Ok(node) = next::next(&now, Some("2")) {
+        let due = now
+            .nodes
+            .iter_mut()
+            .find(|n| n.node == node)
+            .expect("a node");
+        due.build = Some("2".into());
+        order.push(node);
+    }
+    assert_eq!(order, ["c", "a", "b"]);
+    assert_eq!(next::next(&now, Some("2")), Err(NotNow::Done("2".into())));
+    let but = |change: &dyn Fn(&mut Status)| {
+        let mut status = status();
+        change(&mut status);
+        next::next(&status, Some("2"))
+    };
+    assert_eq!(
+        but(&|s| s.nodes[1].here = false),
+        Err(NotNow::Away("a".into()))
+    );
+    assert_eq!(but(&|s| s.clear = Some(false)), Err(NotNow::Outlook));
+    assert_eq!(but(&|s| s.stage = Stage::Migrating), Err(NotNow::Migrating));
+    assert_eq!(but(&|s| s.node = "a".into()), Err(NotNow::NotTheLeader));
+    assert_eq!(but(&|s| s.nodes[0].leads = false), Err(NotNow::NoLeader));
+    // One that is gone for good is not waited for.
+    let gone = but(&|s| (s.nodes[1].here, s.nodes[1].gone) = (false, true));
+    assert_eq!(gone, Ok("c".into()));
+}
+
+fn view(cluster: Cluster) -> View {
+    let seen = |started| Seen {
+        ability: Some(Ability {
+            build: "1".into(),
+            least: 1,
+            most: 3,
+            features: Vec::new(),
+            held_to: None,
+        }),
+        started,
+        told: Some(Told { started, knows: 9 }),
+    };
+    View {
+        cluster,
+        revision: 9,
+        orders: Orders::default(),
+        nodes: BTreeMap::from([("a".into(), seen(3)), ("b".into(), seen(4))]),
+        clean: false,
+    }
+}
+
+fn moving(from: u32, to: u32, stage: Stage) -> Cluster {
+    Cluster { from, to, stage }
+}
+
+fn machine() -> Machine {
+    let config = Config::parse("soak_s = 10", FEATURES).expect("a good file");
+    Machine::new(config, FEATURES)
+}
+
+fn stored(outputs: &[Output]) -> Option<(Cluster, usize)> {
+    outputs.iter().find_map(|output| match output {
+        Output::Store { cluster, nodes, .. } => Some((*cluster, nodes.len())),
+        _ => None,
+    })
+}
+
+#[test]
+fn a_soak_is_whole_or_begins_again() {
+    let s = Duration::from_secs;
+    let soaking = view(moving(1, 2, Stage::Soaking));
+    let mut machine = machine();
+    assert_eq!(machine.step(s(100), &soaking), [Output::SoakBegins]);
+    assert!(machine.step(s(109), &soaking).is_empty());
+    // A node restarts within the soak: its record and what it tells are new.
+    let mut restarted = soaking.clone();
+    restarted.nodes.get_mut("b").expect("b").started = 12;
+    let away = machine.step(s(109), &restarted);
+    assert!(matches!(&away[..], [Output::SoakBeginsAgain(why)] if why.starts_with("b ")));
+    let told = Told {
+        started: 12,
+        knows: 9,
+    };
+    restarted.nodes.get_mut("b").expect("b").told = Some(told);
+    assert_eq!(machine.step(s(110), &restarted), [Output::SoakBegins]);
+    assert_eq!(machine.held, Held::Soaking(s(120)));
+    assert!(machine.step(s(119), &restarted).is_empty());
+    let switch = machine.step(s(120), &restarted);
+    // The switch depends on both processes.
+    assert_eq!(stored(&switch), Some((moving(1, 2, Stage::Active), 2)));
+}
+
+#[test]
+fn one_step_at_a_time_and_only_where_there_is_a_way() {
+    let mut machine = machine();
+    let settled = |generation| view(Cluster::settled(generation));
+    let mut step = |view: &View| {
+        (
+            stored(&machine.step(Duration::ZERO, view)),
+            machine.held.clone(),
+        )
+    };
+    let prepared = |from, to| Some((moving(from, to, Stage::Prepared), 0));
+    assert_eq!(step(&settled(1)).0, prepared(1, 2));
+    assert_eq!(step(&settled(2)).0, prepared(2, 3));
+    assert_eq!(step(&settled(3)), (None, Held::Nothing));
+    let mut down = settled(3);
+    down.orders.apply(&Order::Target(1));
+    assert_eq!(step(&down), (None, Held::NoWayBack("third")));
+    down.cluster = Cluster::settled(2);
+    assert_eq!(step(&down).0, prepared(2, 1));
+    // A node that holds a feature back holds it back for all.
+    let mut held = settled(2);
+    let ability = held.nodes.get_mut("b").expect("b").ability.as_mut();
+    ability.expect("an ability").held_to = Some(2);
+    assert_eq!(step(&held), (None, Held::Nothing));
+    let mut paused = settled(1);
+    paused.orders.paused = true;
+    assert_eq!(step(&paused), (None, Held::Paused));
+    let mut silent = settled(1);
+    silent.nodes.get_mut("a").expect("a").ability = None;
+    assert_eq!(step(&silent), (None, Held::Silent("a".into())));
+    silent.orders.apply(&Order::Forget("a".into()));
+    assert_eq!(step(&silent).0, prepared(1, 2));
+}
+
+fn any_view() -> impl Strategy<Value = View> {
+    let told = prop::option::of((1..3u64, 8..10u64));
+    let told = told.prop_map(|told| told.map(|(started, knows)| Told { started, knows }));
+    let seen = (prop::option::of(1..4u32), 1..3u64, told).prop_map(|(most, started, told)| Seen {
+        ability: most.map(|most| Ability {
+            build: String::new(),
+            least: 1,
+            most,
+            features: Vec::new(),
+            held_to: None,
+        }),
+        started,
+        told,
+    });
+    let stages = prop::sample::select(vec![
+        Stage::Prepared,
+        Stage::Soaking,
+        Stage::Active,
+        Stage::Migrating,
+    ]);
+    let cluster = prop_oneof![
+        (1..4u32).prop_map(Cluster::settled),
+        (1..3u32, any::<bool>(), stages).prop_map(|(low, up, stage)| match up {
+            true => moving(low, low + 1, stage),
+            false => moving(low + 1, low, stage),
+        }),
+    ];
+    let nodes = prop::collection::vec(seen, 1..4);
+    let orders = (any::<bool>(), prop::option::of(1..4u32), any::<bool>());
+    (cluster, nodes, orders, any::<bool>()).prop_map(|(cluster, nodes, orders, clean)| {
+        let named = nodes.into_iter().enumerate();
+        let gone = orders.2.then(|| "0".to_owned());
+        View {
+            cluster,
+            revision: 9,
+            orders: Orders {
+                paused: orders.0,
+                target: orders.1,
+                gone: gone.into_iter().collect(),
+            },
+            nodes: named.map(|(at, seen)| (at.to_string(), seen)).collect(),
+            clean,
+        }
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 3000,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(20),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// The rules of a step, said plainly, against the machine.
+    #[test]
+    fn no_step_is_taken_that_the_rules_forbid(view in any_view(), soaked in any::<bool>()) {
+        let mut machine = machine();
+        machine.step(Duration::ZERO, &view);
+        let later = Duration::from_secs(if soaked { 10 } else { 9 });
+        if let Some((next, named)) = stored(&machine.step(later, &view)) {
+            let now = view.cluster;
+            let counted: Vec<&Seen> = view
+                .nodes
+                .iter()
+                .filter(|(node, _)| !view.orders.gone.contains(*node))
+                .map(|(_, seen)| seen)
+                .collect();
+            let able = |generation| counted.iter().all(|seen| {
+                seen.ability.as_ref().is_some_and(|a| a.can(generation))
+            });
+            let here = counted.iter().all(|seen| {
+                seen.told == Some(Told { started: seen.started, knows: 9 })
+            });
+            prop_assert!(!view.orders.paused && next.holds());
+            prop_assert!(next.from.abs_diff(next.to) <= 1);
+            if next.mixed() && !now.mixed() {
+                prop_assert!(able(next.to) && here && named == counted.len());
+                prop_assert!(soaked || next.to < next.from);
+            }
+            if now.mixed() && !next.mixed() {
+                prop_assert!(view.clean && next == Cluster::settled(now.to));
+            }
+            if next.stage == Stage::Prepared {
+                prop_assert!(able(next.to));
+            }
+        }
+    }
+}
--- a/src/core/config.rs
+++ b/src/core/config.rs
@@ -110,7 +110,7 @@
                 .map(|p| (p.node.clone(), p.zone.clone()))
                 .chain([(settings.node.clone(), settings.zone.clone())])
                 .collect(),
-            ability: super::rollout::ability(),
+            ability: super::rollout::ability(options.rollout.as_deref()),
             teams: params
                 .teams
                 .iter()
--- a/src/core/rollout.rs
+++ b/src/core/rollout.rs
@@ -5,7 +5,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use kiteyard_rollout::{
-    generation::{Ability, Order, Stage},
+    generation::{Ability, OLDEST, Order, Stage},
     machine::{Machine, Output as Step, Seen, Told, View},
     view::{NodeStatus, Status},
 };
@@ -61,15 +61,21 @@
     }
 }
 
-/// What this build is able to.
-pub fn ability() -> Ability {
+/// What this process is able to: what its build is, less what its operators hold back.
+pub fn ability(config: Option<&kiteyard_rollout::config::Config>) -> Ability {
+    let newest = FEATURES.iter().map(|f| f.since).max().unwrap_or(OLDEST);
+    let most = config
+        .and_then(|config| config.reads_most)
+        .unwrap_or(newest);
+    let able = FEATURES.iter().filter(|f| f.since <= most);
     Ability {
         build: option_env!("KITEYARD_BUILD")
             .unwrap_or(env!("CARGO_PKG_VERSION"))
             .to_owned(),
-        least: kiteyard_rollout::generation::OLDEST,
-        most: FEATURES.iter().map(|f| f.since).max().unwrap_or(1),
-        features: FEATURES.iter().map(|f| f.name.to_owned()).collect(),
+        least: OLDEST,
+        most,
+        features: able.map(|f| f.name.to_owned()).collect(),
+        held_to: config.and_then(|config| config.held_to(FEATURES)),
     }
 }
 
@@ -339,7 +345,9 @@
         match (order, config) {
             // By hand, the newest has to be named.
             (Order::Newest, Some(config)) if !config.automatic => {
-                orders.apply(&Order::Target(config.newest(FEATURES)));
+                let newest = ability(None).most;
+                let newest = config.held_to(FEATURES).unwrap_or(newest);
+                orders.apply(&Order::Target(newest));
             }
             (order, _) => orders.apply(order),
         }
@@ -363,8 +371,7 @@
                 Some(format!("{node} is here: end it before it is forgotten"))
             }
             Order::Target(target) => {
-                let newest = ability().most;
-                let oldest = kiteyard_rollout::generation::OLDEST;
+                let (oldest, newest) = (OLDEST, ability(None).most);
                 if !(oldest..=newest).contains(target) {
                     return Some(format!("generation: must be {oldest} to {newest}"));
                 }
@@ -425,8 +432,8 @@
                 leads: leader == Some(node),
                 here: self.here(node),
                 gone: orders.gone.contains(node),
-                least: ability.as_ref().map_or(1, |a| a.least),
-                most: ability.as_ref().map_or(1, |a| a.most),
+                least: ability.as_ref().map_or(OLDEST, |a| a.least),
+                most: ability.as_ref().map_or(OLDEST, |a| a.most),
                 features: ability.as_ref().map_or(Vec::new(), |a| a.features.clone()),
                 build: ability.map(|a| a.build),
             }
--- a/src/io/mod.rs
+++ b/src/io/mod.rs
@@ -8,6 +8,10 @@
     cell::RefCell,
     collections::HashMap,
     rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
@@ -27,6 +31,10 @@
 /// How often the core is asked whether anything is due.
 const TICK: Duration = Duration::from_millis(40);
 
+/// A process that is asked to end has this time to hand over and to answer what it has
+/// taken.
+const RETIRES: Duration = Duration::from_millis(800);
+
 /// A request from outside, with the place its answer goes to.
 pub struct Call {
     pub make: Box<dyn FnOnce(RequestId) -> Input + Send>,
@@ -37,6 +45,11 @@
 pub async fn serve(settings: Settings, options: Options) -> std::io::Result<()> {
     let (calls, mut incoming) = mpsc::channel::<Call>(1024);
     let licensed = options.licences.is_some();
+    let asked_to_end = Arc::new(AtomicBool::new(false));
+    if options.rollout.is_some() {
+        // Without it the process ends at once, as on any other signal.
+        signal_hook::flag::register(signal_hook::consts::SIGTERM, asked_to_end.clone())?;
+    }
     let config = Config::new(&settings, options);
     let listener = server::bind(settings.listen)?;
     let peer_listener = server::bind(settings.peer_listen)?;
@@ -60,11 +73,23 @@
                 peers: peer::Peers::new(&settings),
             };
             let mut next_request: RequestId = 0;
+            let mut retired = None;
             loop {
                 // A fixed order, so that the same events give the same run.
                 tokio::select! {
                     biased;
-                    _ = tick.tick() => driver.step(Input::Tick),
+                    _ = tick.tick() => {
+                        if asked_to_end.load(Ordering::Relaxed) {
+                            let at = *retired.get_or_insert_with(|| {
+                                driver.step(Input::Retire);
+                                Instant::now()
+                            });
+                            if at.elapsed() > RETIRES {
+                                return Ok(());
+                            }
+                        }
+                        driver.step(Input::Tick);
+                    }
                     Some(input) = replies.recv() => driver.step(input),
                     Some(call) = incoming.recv() => {
                         next_request += 1;
--- /dev/null
+++ b/tests/roll.rs
@@ -0,0 +1,172 @@
+//! Real processes of two builds, rolled forth and back under load. The old build is this
+//! one with `reads_most = 1`, or the program that `KITEYARD_OLD_BUILD` names
+//! (`scripts/roll-two-builds` makes one from the history).
+
+use std::{
+    path::PathBuf,
+    process::Command,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use http::Method;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use serde_json::Value;
+
+mod site;
+mod standins;
+use site::{Build, Site};
+use standins::{call, submission};
+
+const NODES: usize = 3;
+
+fn number(variable: &str, otherwise: usize) -> usize {
+    let set = std::env::var(variable).ok();
+    set.and_then(|text| text.parse().ok()).unwrap_or(otherwise)
+}
+
+fn file(name: &str, text: &str) -> PathBuf {
+    let path = std::env::temp_dir().join(format!("kiteyard-{name}-{}.toml", std::process::id()));
+    std::fs::write(&path, text).expect("a file");
+    path
+}
+
+fn build(file: &std::path::Path) -> Build {
+    Build {
+        args: vec!["--rollout".into(), file.display().to_string()],
+        ..Build::default()
+    }
+}
+
+fn id(number: usize) -> String {
+    format!("run-{number:06}")
+}
+
+/// Ends a process as an operator would; it hands over first.
+async fn end(site: &mut Site, node: usize) {
+    let Some(mut child) = site.running[node].take() else {
+        return;
+    };
+    let pid = child.id().to_string();
+    let _ = Command::new("kill").args(["-TERM", &pid]).status();
+    for _ in 0..100 {
+        if matches!(child.try_wait(), Ok(Some(_))) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let _ = child.kill();
+    let _ = child.wait();
+    panic!("node {node} does not end when it is asked to");
+}
+
+async fn roll(site: &mut Site, to: &Build, crash: Option<usize>) {
+    for node in 0..NODES {
+        end(site, node).await;
+        site.builds[node] = to.clone();
+        site.launch(node);
+        let ready = |status, _: &Value| status == 200;
+        site.until(node, Method::GET, "/ready", None, ready).await;
+        if crash == Some(node) {
+            let other = (node + 1) % NODES;
+            site.kill(other);
+            site.launch(other);
+            site.until(other, Method::GET, "/ready", None, ready).await;
+        }
+    }
+}
+
+async fn settled(site: &Site, generation: u64) {
+    let there = |_, status: &Value| status["stage"] == "settled" && status["from"] == generation;
+    for node in 0..NODES {
+        site.until(node, Method::GET, "/rollout", None, there).await;
+    }
+}
+
+/// Every job that was accepted is over and stays so, at every node, and asked for again
+/// it is known.
+async fn all_done(site: &Site, jobs: std::ops::Range<usize>) {
+    for job in jobs {
+        let body = site.becomes(job % NODES, &id(job), "done").await;
+        assert_eq!(body["done"], 2, "{}", id(job));
+        let again = submission(&id(job), "array", 2).to_string();
+        let known = |status, body: &Value| status == 200 && body["attitude"] == "done";
+        let node = (job + 1) % NODES;
+        site.until(node, Method::POST, "/work", Some(again), known)
+            .await;
+    }
+}
+
+#[tokio::test]
+async fn two_builds_are_rolled_forth_and_back_under_load() {
+    let old_file = file("roll-old", "soak_s = 1\nreads_most = 1\n");
+    let new_file = file("roll-new", "soak_s = 1\nmigration_share = 0.5\n");
+    let new = build(&new_file);
+    let old = match std::env::var("KITEYARD_OLD_BUILD") {
+        Ok(program) => Build {
+            program: program.into(),
+            args: Vec::new(),
+        },
+        Err(_) => build(&old_file),
+    };
+    let mut site = Site::of("roll", vec![old.clone(); NODES]).await;
+
+    // Jobs come all the time, each asked for until it is accepted.
+    let (addrs, most) = (site.nodes.clone(), number("KITEYARD_ROLL_JOBS", 60));
+    let (stop, accepted) = (
+        Arc::new(AtomicBool::new(false)),
+        Arc::new(AtomicUsize::new(0)),
+    );
+    let load = tokio::spawn({
+        let (stop, accepted) = (stop.clone(), accepted.clone());
+        async move {
+            let mut rng = StdRng::seed_from_u64(20);
+            for job in 0..most {
+                let body = submission(&id(job), "array", 2).to_string();
+                loop {
+                    let node = addrs[rng.random_range(0..NODES)].0;
+                    let answer = call(Method::POST, node, "/work", Some(body.clone())).await;
+                    match answer {
+                        Some((200 | 201, _)) => break,
+                        Some((400 | 422, body)) => panic!("{} refused: {body}", id(job)),
+                        _ => tokio::time::sleep(Duration::from_millis(60)).await,
+                    }
+                }
+                accepted.store(job + 1, Ordering::Relaxed);
+                if stop.load(Ordering::Relaxed) {
+                    break;
+                }
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        }
+    });
+
+    for turn in 0..number("KITEYARD_ROLL_TURNS", 1) {
+        roll(&mut site, &new, Some(turn % NODES)).await;
+        settled(&site, 2).await;
+        let (status, _) = site.ask(0, Method::GET, "/work/run-999999", None).await;
+        assert_eq!(status, 404);
+        all_done(&site, 0..accepted.load(Ordering::Relaxed).min(20)).await;
+        let order = |status, _: &Value| status == 200;
+        site.until(1, Method::POST, "/rollout/target/1", None, order)
+            .await;
+        settled(&site, 1).await;
+        roll(&mut site, &old, None).await;
+        // The next turn goes forth again.
+        roll(&mut site, &new, None).await;
+        site.until(2, Method::POST, "/rollout/newest", None, order)
+            .await;
+        settled(&site, 2).await;
+    }
+    stop.store(true, Ordering::Relaxed);
+    load.await.expect("the load ends");
+    let jobs = accepted.load(Ordering::Relaxed);
+    assert!(jobs > 20, "only {jobs} jobs");
+    all_done(&site, 0..jobs).await;
+    for file in [old_file, new_file] {
+        let _ = std::fs::remove_file(file);
+    }
+}
