--- a/src/cli.rs
+++ b/src/cli.rs
@@ -8,7 +8,7 @@
 use clap::Parser;
 
 use crate::{
-    core::{config::Options, finals::FEATURES},
+    core::{config::Options, rollout::FEATURES},
     settings,
 };
 
--- a/src/core/commands.rs
+++ b/src/core/commands.rs
@@ -171,6 +171,7 @@
     /// Everything the worker should do now, in order: room is made before it is used.
     pub(super) fn commands(&mut self, id: &MachineId, seq: Option<u64>) -> Vec<Command> {
         let machine = self.machines.get_mut(id).expect("known machine");
+        let withheld = self.withheld.contains(&machine.zone);
         let (mut ends, mut starts) = (Vec::new(), Vec::new());
         for ((task, attempt), placement) in &mut machine.tasks {
             let (task, attempt) = (task.clone(), *attempt);
@@ -188,7 +189,7 @@
                     }
                 }
                 (Phase::Decided | Phase::Sent { .. }, None)
-                    if machine.fenced && machine.entry.jobs.contains(&task.job) =>
+                    if machine.fenced && !withheld && machine.entry.jobs.contains(&task.job) =>
                 {
                     let (last, direct) = match placement.phase {
                         Phase::Sent { seq, direct } => (seq, direct),
--- a/src/core/config.rs
+++ b/src/core/config.rs
@@ -83,6 +83,8 @@
     pub value_most: usize,
     pub cloud_every: Duration,
     pub list_lag: Duration,
+    /// The time of day may be off by so much.
+    pub wall_error: Duration,
     pub options: Options,
 }
 
@@ -133,6 +135,7 @@
             value_most: (params.state.value_kb * 1024.0) as usize,
             // Nearly all calls are the leader's; the rest is for lists of types.
             cloud_every: seconds(1.25 / params.cloud.rps),
+            wall_error: seconds(params.time_bound_ms / 1000.0),
             list_lag: seconds(params.cloud.list_lag_s),
             options,
         }
--- a/src/core/finals.rs
+++ b/src/core/finals.rs
@@ -25,9 +25,6 @@
     forms: &["ends/RANGE", "live/generation", "pulse.told"],
 };
 
-/// All changes of the stored state that this build knows.
-pub const FEATURES: &[Feature] = &[PACKED_FINALS];
-
 /// Where the end of a job may be stored.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Place {
--- a/src/core/lead.rs
+++ b/src/core/lead.rs
@@ -15,8 +15,8 @@
     mirror::LeaderRecord,
     roster::ShardRecord,
     store::{
-        Entry, GENERATION, LEADER, LIVE, PROGRESS, ROSTER, SETTLED, StateReply, StateRequest,
-        delete, put, put_leased, when,
+        APART, Entry, GENERATION, LEADER, LIVE, PROGRESS, ROSTER, SETTLED, StateReply,
+        StateRequest, delete, put, put_leased, when,
     },
 };
 
@@ -89,6 +89,11 @@
         self.valid_until
     }
 
+    /// By then whoever led before this claim has stopped.
+    pub fn former_stopped_at(&self) -> Duration {
+        self.former_stopped
+    }
+
     pub fn token(&self) -> Option<u64> {
         self.claim.map(|claim| claim << 16)
     }
@@ -207,10 +212,12 @@
                     },
                     StateRequest::Txn {
                         // A process that does not know how the records are written
-                        // now can't claim.
+                        // now can't claim, nor one that does not know whom it may not
+                        // answer.
                         conditions: vec![
                             when(LEADER, version),
                             when(GENERATION, self.mirror.cluster.1),
+                            when(APART, self.mirror.apart.1),
                         ],
                         changes: vec![put_leased(LEADER, &record, Some(lease))],
                     },
@@ -550,6 +557,7 @@
             progress: taking.progress.unwrap_or_default(),
             roster: taking.roster.unwrap_or_default(),
             resolve_by: self.lead.former_stopped + self.config.worker_lease_bound,
+            zones_over: self.zones_over(),
         };
         let mut leader = Leader::new(self.config.clone(), claim, types, found, now);
         leader.recall(std::mem::take(&mut self.hints));
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -152,6 +152,10 @@
     pub seats: Option<kiteyard_licences::ledger::Ledger>,
     /// What the silence of machines means, and the zones where somebody is to be asked.
     pub outlook: Outlook,
+    /// Zones where nobody may be sent a start.
+    pub(super) withheld: BTreeSet<Arc<str>>,
+    /// When the leases of zones are over that a former leader left unanswered.
+    zones_over: BTreeMap<Arc<str>, Duration>,
     pub(super) ask: BTreeSet<Arc<str>>,
     /// Machines that were returned, for the node to forget.
     pub(super) parted: Vec<MachineId>,
@@ -173,6 +177,8 @@
     pub roster: Vec<(u32, ShardRecord, u64)>,
     /// By then every lease that a former leader kept alive is over.
     pub resolve_by: Duration,
+    /// The same for zones that nobody has answered for a while.
+    pub zones_over: BTreeMap<Arc<str>, Duration>,
 }
 
 /// Commands for one worker, to be sent straight to it.
@@ -208,6 +214,7 @@
             mut progress,
             roster,
             resolve_by,
+            zones_over,
         } = found;
         let mut leader = Self {
             claim,
@@ -217,6 +224,8 @@
             queue: Queue::default(),
             fleet: Fleet::new(format!("{}-{claim}", config.node)),
             resolve_by,
+            zones_over,
+            withheld: BTreeSet::new(),
             proven: Duration::ZERO,
             attempts: claim << 24,
             next_pass: Duration::ZERO,
@@ -862,16 +871,29 @@
             self.session_over(&id, now);
             self.requeue();
         }
-        if proven > self.resolve_by && self.unresolved() {
-            for machine in self.machines.values_mut().filter(|m| m.unresolved) {
-                info!(machine = %machine.id, "silent machine proven empty");
-                machine.unresolved = false;
-                if machine.standing == Standing::Booting {
-                    machine.standing = Standing::Lost;
-                }
+        let unresolved = self.machines.values().filter(|m| m.unresolved);
+        let empty = unresolved.filter(|m| proven > self.resolved_by(m));
+        let empty: Vec<MachineId> = empty.map(|m| m.id.clone()).collect();
+        if empty.is_empty() {
+            return;
+        }
+        for id in empty {
+            info!(machine = %id, "silent machine proven empty");
+            let machine = self.machines.get_mut(&id).expect("just listed");
+            machine.unresolved = false;
+            if machine.standing == Standing::Booting {
+                machine.standing = Standing::Lost;
             }
-            self.requeue();
         }
+        self.requeue();
+    }
+
+    /// By then a machine whose tasks are not known is empty, if it stays silent: one that
+    /// this leader answered, a lease after that.
+    fn resolved_by(&self, machine: &Machine) -> Duration {
+        let zone = self.zones_over.get(&machine.zone).copied();
+        let unmet = zone.map_or(self.resolve_by, |over| over.min(self.resolve_by));
+        self.lease_over(machine).unwrap_or(unmet)
     }
 
     /// When the lease of a worker that stays silent is over. One that has not seen
@@ -892,7 +914,7 @@
             let lost = matches!(m.standing, Standing::Up | Standing::Leaving)
                 && m.session > m.dead_session
                 && self.lease_over(m).is_some_and(over);
-            lost || (m.unresolved && over(self.resolve_by))
+            lost || (m.unresolved && over(self.resolved_by(m)))
         })
     }
 
--- a/src/core/migrate.rs
+++ b/src/core/migrate.rs
@@ -110,6 +110,9 @@
                 ..Migration::default()
             };
         }
+        if finals::place(cluster.from) == finals::place(cluster.to) {
+            migration.clean = true;
+        }
         let passed = now.saturating_sub(migration.refilled).as_secs_f64();
         migration.refilled = now;
         migration.allowance = (migration.allowance + passed * rate).min(most as f64);
--- a/src/core/mirror.rs
+++ b/src/core/mirror.rs
@@ -9,9 +9,12 @@
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use super::{
+    apart::ApartRecord,
     job::{JobId, JobRecord},
     machine::MachineType,
-    store::{Entry, Event, GENERATION, JOBS, LEADER, NODES, ORDERS, SETTLED, TYPES, job_key},
+    store::{
+        APART, Entry, Event, GENERATION, JOBS, LEADER, NODES, ORDERS, SETTLED, TYPES, job_key,
+    },
 };
 
 /// Who leads, in the leader key.
@@ -42,6 +45,8 @@
     /// The generation of the stored forms, and the revision of its key; 0: there is none.
     pub cluster: (Cluster, u64),
     pub orders: (Orders, u64),
+    /// Zones that are cut off, and the revision; 0: there is no such key.
+    pub apart: (ApartRecord, u64),
     /// What nodes' processes said they are able to, and the revision; none where this one
     /// can't read it.
     pub nodes: BTreeMap<String, (Option<Ability>, u64)>,
@@ -136,6 +141,10 @@
                 let revision = if event.value.is_some() { revision } else { 0 };
                 self.orders = (self.read(event).unwrap_or_default(), revision);
             }
+            APART => {
+                let revision = if event.value.is_some() { revision } else { 0 };
+                self.apart = (self.read(event).unwrap_or_default(), revision);
+            }
             key => match key.strip_prefix(NODES) {
                 Some(node) => self.node_told(node.to_owned(), event),
                 None => return self.apply_job(event),
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -1,6 +1,7 @@
 //! The service as a state machine: inputs go in, and what to send, write and
 //! answer comes out. Nothing here reads a clock or touches a socket.
 
+pub mod apart;
 pub mod commands;
 pub mod config;
 pub mod drain;
@@ -251,6 +252,10 @@
         request: RequestId,
     },
     Migrate((u64, u64), migrate::Asked),
+    StoreApart {
+        claim: u64,
+        record: apart::ApartRecord,
+    },
     TakeOver(lead::Loading),
     Save(saves::Save),
     StoreTypes,
@@ -287,6 +292,7 @@
     retry_types: Duration,
     saves: saves::Saves,
     rollout: rollout::Rollout,
+    apart: apart::Apart,
     /// Ends of jobs by range, where they are stored so.
     ranges: finals::Ranges,
     relays: Relays,
@@ -303,6 +309,7 @@
         Self {
             saves: saves::Saves::new(&config),
             rollout: rollout::Rollout::new(config.options.rollout.as_deref()),
+            apart: apart::Apart::default(),
             ranges: finals::Ranges::default(),
             relays: Relays::default(),
             pulses: pulse::Pulses::default(),
@@ -377,6 +384,11 @@
         self.leader.is_some() && self.leads()
     }
 
+    /// There are machines whose tasks it does not know yet.
+    pub fn unresolved(&self) -> bool {
+        self.leader.as_ref().is_some_and(Leader::unresolved)
+    }
+
     /// Until then what a step has decided as the leader may go out.
     pub fn acts_until(&self) -> Duration {
         self.lead.acts_until()
@@ -421,6 +433,7 @@
         self.pump_pulses();
         self.pump_rollout();
         self.pump_lead();
+        self.pump_apart();
         self.pump_polls();
         self.pump_relays();
         self.pump_hints();
@@ -605,6 +618,7 @@
             Purpose::StoreGeneration => self.generation_stored(&reply),
             Purpose::Order { request } => self.order_stored(request, &reply),
             Purpose::Migrate(about, asked) => self.migrated(about, asked, reply),
+            Purpose::StoreApart { claim, record } => self.apart_stored(claim, record, &reply),
             Purpose::TakeOver(loading) => self.take_over_reply(loading, reply),
             Purpose::Save(save) => self.saved(save, reply),
             Purpose::StoreTypes => {}
@@ -705,6 +719,14 @@
     /// What the leader answers to a report, whichever way it came; none where
     /// this node does not lead.
     fn lead_report(&mut self, report: &WorkerReport) -> Option<Answer> {
+        let answer = self.answer_report(report);
+        if let Some(Answer::Commands { .. }) = answer {
+            self.zone_answered(&report.zone);
+        }
+        answer
+    }
+
+    fn answer_report(&mut self, report: &WorkerReport) -> Option<Answer> {
         let now = self.now();
         if !self.leads() {
             return None;
--- a/src/core/pulse.rs
+++ b/src/core/pulse.rs
@@ -36,7 +36,7 @@
 
 /// After a change of the leader, workers that reported to another node have turned to
 /// the new one within this time.
-fn turning(report: Duration) -> Duration {
+pub fn turning(report: Duration) -> Duration {
     report * 5 / 4 + WORKER_ANSWER + WORKER_RETRY
 }
 
@@ -235,6 +235,7 @@
         if way == Way::Report {
             self.members.worker_came();
         }
+        self.zone_heard(zone);
         self.members.sight.heard(machine, zone, way);
     }
 }
--- a/src/core/relay.rs
+++ b/src/core/relay.rs
@@ -102,6 +102,9 @@
     pub(super) fn report(&mut self, request: RequestId, report: WorkerReport) {
         if self.leads() {
             self.machine_heard(&report.machine, &report.zone, Way::Report);
+            let Some(report) = self.wait_for_zone(request, report) else {
+                return;
+            };
             let answer = self.lead_report(&report);
             self.answer(request, answer.unwrap_or(Answer::Redirect(None)));
             return;
@@ -252,6 +255,9 @@
         match message {
             PeerMessage::Report { relay, report } => {
                 self.machine_heard(&report.machine, &report.zone, Way::Relay);
+                let Some(report) = self.relay_waits_for_zone(&from, relay, report) else {
+                    return;
+                };
                 let answer = self.lead_report(&report);
                 self.out.push(Output::Peer {
                     to: from,
--- a/src/core/rollout.rs
+++ b/src/core/rollout.rs
@@ -5,7 +5,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use kiteyard_rollout::{
-    generation::{Ability, OLDEST, Order, Stage},
+    generation::{Ability, Feature, OLDEST, Order, Stage},
     machine::{Machine, Output as Step, Seen, Told, View},
     view::{NodeStatus, Status},
 };
@@ -13,11 +13,15 @@
 
 use super::{
     Answer, BACK_OFF, Node, Purpose, RequestId,
-    finals::FEATURES,
+    apart::ZONES_APART,
+    finals::PACKED_FINALS,
     migrate::Migration,
     store::{GENERATION, LEADER, ORDERS, StateReply, StateRequest, node_key, put, when},
 };
 
+/// All changes of the stored state that this build knows.
+pub const FEATURES: &[Feature] = &[PACKED_FINALS, ZONES_APART];
+
 /// What operators ask of a node.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Ask {
@@ -262,6 +266,12 @@
         self.rollout.next = self.now() + wait;
     }
 
+    /// No record is left of what a generation that is being left has stored.
+    fn no_zones_left(&self) -> bool {
+        let lists = self.mirror.cluster.0.written() >= ZONES_APART.since;
+        lists || self.mirror.apart.0.zones.is_empty()
+    }
+
     fn configured(&self) -> impl Iterator<Item = &String> {
         self.config.peers.iter().chain([&self.config.node])
     }
@@ -290,7 +300,7 @@
             revision,
             orders: self.mirror.orders.0.clone(),
             nodes: self.configured().map(seen).collect::<BTreeMap<_, _>>(),
-            clean: self.rollout.migration.clean(revision),
+            clean: self.rollout.migration.clean(revision) && self.no_zones_left(),
         }
     }
 
--- a/src/core/sched.rs
+++ b/src/core/sched.rs
@@ -161,7 +161,7 @@
 
     /// Nothing is started that can't be delivered, and nobody stopped for it.
     pub(super) fn reaches(&self, zone: &str) -> bool {
-        !self.outlook.doubts && !self.outlook.apart.contains(zone)
+        !self.outlook.doubts && !self.outlook.apart.contains(zone) && !self.withheld.contains(zone)
     }
 
     /// Places what fits, makes room for what does not, and parks the rest.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -59,6 +59,14 @@
     pub state: StateLimits,
     pub cloud: CloudLimits,
     pub resources: Resources,
+    /// How far the time of day may be off.
+    #[serde(default = "minute")]
+    pub time_bound_ms: f64,
+}
+
+/// Where the platform does not say, clocks are taken to be bad.
+fn minute() -> f64 {
+    60_000.0
 }
 
 #[derive(Debug, Clone, Deserialize)]
@@ -183,6 +191,9 @@
         if !(0.0..1e6).contains(&params.cloud.list_lag_s) {
             return fail("params.cloud.list_lag_s", "must be zero or more");
         }
+        if !(0.0..1e9).contains(&params.time_bound_ms) {
+            return fail("params.time_bound_ms", "must be zero or more");
+        }
         if params.state.txn_ops < 4 {
             return fail("params.state.txn_ops", "must be at least 4");
         }
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -70,6 +70,7 @@
             progress: BTreeMap::new(),
             roster,
             resolve_by,
+            zones_over: BTreeMap::new(),
         };
         let now = Duration::from_secs(100);
         Self {
