--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -9,9 +9,10 @@
 use tracing::info;
 
 use super::{
-    job::{JobSpec, Kind, Resources},
-    leader::Leader,
+    job::{JobId, JobSpec, Kind, Resources},
+    leader::{Job, Leader},
     machine::{ListedMachine, ListedState, Machine, MachineId, MachineType, Standing},
+    room::listed_by_silent,
 };
 
 #[derive(Debug, Clone)]
@@ -464,10 +465,12 @@
             .filter(|m| m.standing == Standing::Up && m.notice_at.is_none())
             .map(|m| m.size.cpus)
             .sum();
+        let silent = listed_by_silent(&self.machines);
+        let held = |id: &JobId, job: &Job| job.version < self.claim && silent.contains(id);
         let mut jobs: Vec<_> = self
             .jobs
             .iter()
-            .filter(|(id, j)| j.retry_at <= now && !j.faulty() && !self.held(id, j))
+            .filter(|(id, j)| j.retry_at <= now && !j.faulty() && !held(id, j))
             .map(|(_, j)| j)
             .filter(|j| j.waiting_count() as usize > j.nominations.len())
             .collect();
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -387,16 +387,6 @@
         self.wake();
     }
 
-    /// A silent machine may hold tasks of this job that a former leader started:
-    /// it is listed there, and was accepted before the claim.
-    pub fn held(&self, id: &JobId, job: &Job) -> bool {
-        job.version < self.claim
-            && self
-                .machines
-                .values()
-                .any(|m| m.unresolved && m.entry.jobs.contains(id))
-    }
-
     pub fn unresolved(&self) -> bool {
         self.machines.values().any(|m| m.unresolved)
     }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -27,6 +27,7 @@
 pub mod queue;
 pub mod relay;
 pub mod rollout;
+mod room;
 pub mod roster;
 pub mod saves;
 pub mod sched;
--- a/src/core/near.rs
+++ b/src/core/near.rs
@@ -14,7 +14,7 @@
 use super::{
     job::{JobId, Kind},
     leader::{Job, Leader},
-    sched::View,
+    room::View,
 };
 
 impl Leader {
@@ -41,7 +41,7 @@
     pub(super) fn place_near(&mut self, view: &mut View, id: &JobId, now: Duration) {
         let Some(job) = self.jobs.get(id) else { return };
         let (spec, before) = (job.spec.clone(), job.placed);
-        view.zones = self.zones(id);
+        view.look_at(&spec, &self.machines);
         self.fill_rooms(view, id, &spec, true, now);
         if let Some(job) = self.jobs.get_mut(id) {
             match job.placed > before {
--- a/src/core/order.rs
+++ b/src/core/order.rs
@@ -5,7 +5,7 @@
 //! way and would make many small ones late too. Those put back follow, again by
 //! the next time that is expected of them, and then the smallest first.
 
-use std::collections::HashMap;
+use std::collections::{BinaryHeap, HashMap};
 use std::time::Duration;
 
 use super::{
@@ -47,7 +47,9 @@
         let capacity = self.finite_cpus().max(1.0);
         let mut ahead = 0.0;
         for round in 0..2 {
-            let (mut taken, mut late) = (Vec::new(), Vec::new());
+            let (mut taken, mut late): (Vec<Option<Entry>>, _) = (Vec::new(), Vec::new());
+            // The most work first, of the last one taken where it is the same.
+            let mut largest: BinaryHeap<(u64, usize)> = BinaryHeap::new();
             left.sort_by(|a, b| {
                 let due = |e: &Entry| e.dues.get(round).copied().unwrap_or(f64::INFINITY);
                 due(a).total_cmp(&due(b)).then_with(|| a.id.cmp(&b.id))
@@ -58,17 +60,18 @@
                     continue;
                 };
                 ahead += entry.work;
-                taken.push(entry);
-                if ahead / capacity > due {
-                    let largest = (0..taken.len())
-                        .max_by(|a, b| taken[*a].work.total_cmp(&taken[*b].work))
-                        .expect("just pushed");
-                    let put_back = taken.remove(largest);
+                // Work is never below zero, so its bits are in its order.
+                largest.push((entry.work.to_bits(), taken.len()));
+                taken.push(Some(entry));
+                if ahead / capacity > due
+                    && let Some((_, largest)) = largest.pop()
+                    && let Some(put_back) = taken[largest].take()
+                {
                     ahead -= put_back.work;
                     late.push(put_back);
                 }
             }
-            order.extend(taken.into_iter().map(|e| e.id));
+            order.extend(taken.into_iter().flatten().map(|e| e.id));
             left = late;
         }
         left.sort_by(|a, b| a.work.total_cmp(&b.work).then_with(|| a.id.cmp(&b.id)));
--- /dev/null
+++ b/src/core/room.rs
@@ -0,0 +1,226 @@
+//! What one pass sees: the machines that may be given tasks, what teams use, and what
+//! was found out on the way. Nothing here decides.
+
+use std::{
+    collections::{BTreeMap, HashMap, HashSet},
+    sync::Arc,
+};
+
+use super::{
+    job::{JobId, JobSpec, Kind, Priority, Resources, TaskId},
+    machine::{Machine, MachineId},
+};
+
+/// A machine as one pass sees it. A pass looks at every room for most jobs, so
+/// what rules a room out is kept at hand: most are ruled out by numbers alone.
+pub(super) struct Room {
+    pub id: MachineId,
+    pub machine_type: Arc<str>,
+    pub zone: Arc<str>,
+    pub spot: bool,
+    size: Resources,
+    pub free: Resources,
+    /// What tasks that are stopping will leave.
+    stopping: Resources,
+    /// What tasks that could be stopped hold, by priority.
+    pub kept: [Resources; Priority::ALL.len()],
+    /// Held for parked tasks, by job.
+    pub held: Vec<(Priority, JobId, Resources)>,
+    /// Set aside as victims in this pass.
+    pub victims: HashSet<(TaskId, u64)>,
+}
+
+impl Room {
+    pub fn new(machine: &Machine) -> Self {
+        let mut room = Self {
+            id: machine.id.clone(),
+            machine_type: machine.machine_type.clone(),
+            zone: machine.zone.clone(),
+            spot: machine.spot,
+            size: machine.size,
+            free: machine.size,
+            stopping: Resources::default(),
+            kept: Default::default(),
+            held: Vec::new(),
+            victims: HashSet::new(),
+        };
+        room.count(machine);
+        room
+    }
+
+    /// Takes in what the machine holds now.
+    pub fn count(&mut self, machine: &Machine) {
+        self.free = self.size;
+        self.stopping = Resources::default();
+        self.kept = Default::default();
+        for placement in machine.tasks.values().filter(|p| !p.exited()) {
+            self.free = self.free.minus(&placement.need);
+            if placement.stopping() {
+                self.stopping = self.stopping.plus(&placement.need);
+            } else if let Some(spec) = &placement.spec {
+                let kept = &mut self.kept[spec.priority as usize];
+                *kept = kept.plus(&placement.need);
+            }
+        }
+    }
+
+    /// The most that could be free for a task of this priority: everything that
+    /// is stopping, and whatever might be stopped for it.
+    pub fn most_free(&self, priority: Priority, reclaims: bool) -> Resources {
+        let below = priority as usize + usize::from(reclaims);
+        let most = self.free.plus(&self.stopping);
+        self.kept[..below].iter().fold(most, |sum, r| sum.plus(r))
+    }
+}
+
+/// What teams' tasks take. There are few teams, and every task of every machine
+/// is counted in every pass: a list beats a map.
+#[derive(Clone, Default)]
+pub(super) struct Usage(Vec<(Arc<str>, Resources)>);
+
+impl Usage {
+    pub fn add(&mut self, team: &Arc<str>, need: &Resources) {
+        match self.0.iter_mut().find(|(name, _)| name == team) {
+            Some((_, sum)) => *sum = sum.plus(need),
+            None => self.0.push((team.clone(), *need)),
+        }
+    }
+
+    pub fn of(&self, team: &Arc<str>) -> Resources {
+        let found = self.0.iter().find(|(name, _)| name == team);
+        found.map(|(_, sum)| *sum).unwrap_or_default()
+    }
+}
+
+/// A task that found neither room nor victims in this pass. Others that ask for
+/// the same kinds of machine, for as much or more, would find none either: with a
+/// long queue most jobs need not look at every machine.
+pub(super) struct Hopeless {
+    pub spec: Arc<JobSpec>,
+}
+
+impl Hopeless {
+    fn covers(&self, spec: &JobSpec) -> bool {
+        let known = &self.spec;
+        known.need.fits_in(&spec.need)
+            && spec.priority <= known.priority
+            && spec.team == known.team
+            && spec.types == known.types
+            && spec.zone == known.zone
+            && (known.spot || !spec.spot)
+    }
+}
+
+pub(super) struct View {
+    /// Emptied when nominations change, and with them what is held and stopped.
+    pub hopeless: Vec<Hopeless>,
+    pub rooms: Vec<Room>,
+    /// What each team's tasks take, those that silent machines may hold included.
+    pub usage: Usage,
+    /// The part of it that is stopping.
+    pub leaving: Usage,
+    /// Tasks of the job at hand by zone, and the replicas by machine.
+    pub zones: BTreeMap<Arc<str>, u32>,
+    /// Jobs that silent machines list.
+    pub silent: HashSet<JobId>,
+    /// Tasks by job and zone, as counted when they were asked for first.
+    by_zone: Option<HashMap<JobId, BTreeMap<Arc<str>, u32>>>,
+}
+
+impl View {
+    pub fn new(rooms: Vec<Room>, usage: Usage, leaving: Usage, silent: HashSet<JobId>) -> Self {
+        Self {
+            hopeless: Vec::new(),
+            rooms,
+            usage,
+            leaving,
+            zones: BTreeMap::new(),
+            silent,
+            by_zone: None,
+        }
+    }
+
+    /// Another job like it found no room. A nominated one may have room that is held
+    /// for itself alone.
+    pub fn rules_out(&self, spec: &JobSpec, nominated: bool) -> bool {
+        !nominated && self.hopeless.iter().any(|h| h.covers(spec))
+    }
+
+    /// The zones of a job's tasks, the stopping ones included, are to be at hand. Looked
+    /// up at every machine for each waiting service, they were most of a pass.
+    pub fn look_at(&mut self, spec: &JobSpec, machines: &BTreeMap<MachineId, Machine>) {
+        self.zones.clear();
+        if !by_zone(spec) {
+            return;
+        }
+        let counted = self.by_zone.get_or_insert_with(|| count_by_zone(machines));
+        if let Some(zones) = counted.get(&spec.id) {
+            self.zones.clone_from(zones);
+        }
+    }
+
+    /// A task of the job at hand was put there.
+    pub fn put(&mut self, room: usize, spec: &JobSpec) {
+        let room = &mut self.rooms[room];
+        room.free = room.free.minus(&spec.need);
+        let kept = &mut room.kept[spec.priority as usize];
+        *kept = kept.plus(&spec.need);
+        self.usage.add(&spec.team, &spec.need);
+        *self.zones.entry(room.zone.clone()).or_insert(0) += 1;
+        if let (Some(counted), true) = (&mut self.by_zone, by_zone(spec)) {
+            let zones = counted.entry(spec.id.clone()).or_default();
+            *zones.entry(room.zone.clone()).or_insert(0) += 1;
+        }
+    }
+
+    /// Tasks may have been taken back, and more room is held.
+    pub fn stale(&mut self) {
+        self.by_zone = None;
+    }
+
+    /// The nominations of one job have changed.
+    pub fn refresh_held(&mut self, spec: &JobSpec, nominations: &[MachineId]) {
+        self.hopeless.clear();
+        for room in &mut self.rooms {
+            room.held.retain(|(_, held, _)| *held != spec.id);
+        }
+        self.hold(spec, nominations);
+    }
+
+    pub fn hold(&mut self, spec: &JobSpec, nominations: &[MachineId]) {
+        for machine in nominations {
+            // Rooms are in the order of the machines' names.
+            if let Ok(at) = self.rooms.binary_search_by(|r| r.id.cmp(machine)) {
+                let held = (spec.priority, spec.id.clone(), spec.need);
+                self.rooms[at].held.push(held);
+            }
+        }
+    }
+}
+
+/// Where the other tasks of the job are counts for where one may be, or is best.
+fn by_zone(spec: &JobSpec) -> bool {
+    spec.one_zone || spec.spread || spec.kind == Kind::Service
+}
+
+fn count_by_zone(
+    machines: &BTreeMap<MachineId, Machine>,
+) -> HashMap<JobId, BTreeMap<Arc<str>, u32>> {
+    let mut counted: HashMap<JobId, BTreeMap<Arc<str>, u32>> = HashMap::new();
+    for machine in machines.values() {
+        for ((task, _), p) in &machine.tasks {
+            if p.exited() || p.spec.as_ref().is_some_and(|spec| !by_zone(spec)) {
+                continue;
+            }
+            let zones = counted.entry(task.job.clone()).or_default();
+            *zones.entry(machine.zone.clone()).or_insert(0) += 1;
+        }
+    }
+    counted
+}
+
+/// Jobs that machines list of which it is not known yet what they hold.
+pub(super) fn listed_by_silent(machines: &BTreeMap<MachineId, Machine>) -> HashSet<JobId> {
+    let silent = machines.values().filter(|m| m.unresolved);
+    silent.flat_map(|m| m.entry.jobs.iter().cloned()).collect()
+}
--- a/src/core/sched.rs
+++ b/src/core/sched.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cmp::Reverse,
-    collections::{BTreeMap, HashMap, HashSet},
+    collections::{BTreeMap, HashMap},
     sync::Arc,
     time::Duration,
 };
@@ -13,8 +13,9 @@
 
 use super::{
     job::{JobId, JobSpec, Kind, Priority, Resources, TaskId},
-    leader::{Job, Leader, Slot},
+    leader::{Leader, Slot},
     machine::{Machine, MachineId, Placement, Standing},
+    room::{Hopeless, Room, Usage, View, listed_by_silent},
 };
 
 /// The least time between two passes.
@@ -23,120 +24,6 @@
 /// How soon a job that waits for a seat is tried again.
 const SEATS_AGAIN: Duration = Duration::from_secs(1);
 
-/// A machine as one pass sees it. A pass looks at every room for most jobs, so
-/// what rules a room out is kept at hand: most are ruled out by numbers alone.
-struct Room {
-    id: MachineId,
-    size: Resources,
-    free: Resources,
-    /// What tasks that are stopping will leave.
-    stopping: Resources,
-    /// What tasks that could be stopped hold, by priority.
-    kept: [Resources; Priority::ALL.len()],
-    /// Held for parked tasks, by job.
-    held: Vec<(Priority, JobId, Resources)>,
-    /// Set aside as victims in this pass.
-    victims: HashSet<(TaskId, u64)>,
-}
-
-impl Room {
-    fn new(machine: &Machine) -> Self {
-        let mut room = Self {
-            id: machine.id.clone(),
-            size: machine.size,
-            free: machine.size,
-            stopping: Resources::default(),
-            kept: Default::default(),
-            held: Vec::new(),
-            victims: HashSet::new(),
-        };
-        room.count(machine);
-        room
-    }
-
-    /// Takes in what the machine holds now.
-    fn count(&mut self, machine: &Machine) {
-        self.free = self.size;
-        self.stopping = Resources::default();
-        self.kept = Default::default();
-        for placement in machine.tasks.values().filter(|p| !p.exited()) {
-            self.free = self.free.minus(&placement.need);
-            if placement.stopping() {
-                self.stopping = self.stopping.plus(&placement.need);
-            } else if let Some(spec) = &placement.spec {
-                let kept = &mut self.kept[spec.priority as usize];
-                *kept = kept.plus(&placement.need);
-            }
-        }
-    }
-
-    /// The most that could be free for a task of this priority: everything that
-    /// is stopping, and whatever might be stopped for it.
-    fn most_free(&self, priority: Priority, reclaims: bool) -> Resources {
-        let below = priority as usize + usize::from(reclaims);
-        let most = self.free.plus(&self.stopping);
-        self.kept[..below].iter().fold(most, |sum, r| sum.plus(r))
-    }
-}
-
-/// What teams' tasks take. There are few teams, and every task of every machine
-/// is counted in every pass: a list beats a map.
-#[derive(Clone, Default)]
-struct Usage(Vec<(Arc<str>, Resources)>);
-
-impl Usage {
-    fn add(&mut self, team: &Arc<str>, need: &Resources) {
-        match self.0.iter_mut().find(|(name, _)| name == team) {
-            Some((_, sum)) => *sum = sum.plus(need),
-            None => self.0.push((team.clone(), *need)),
-        }
-    }
-
-    fn of(&self, team: &Arc<str>) -> Resources {
-        let found = self.0.iter().find(|(name, _)| name == team);
-        found.map(|(_, sum)| *sum).unwrap_or_default()
-    }
-}
-
-/// A task that found neither room nor victims in this pass. Others that ask for
-/// the same kinds of machine, for as much or more, would find none either: with a
-/// long queue most jobs need not look at every machine.
-struct Hopeless {
-    spec: Arc<JobSpec>,
-}
-
-impl Hopeless {
-    fn covers(&self, spec: &JobSpec) -> bool {
-        let known = &self.spec;
-        known.need.fits_in(&spec.need)
-            && spec.priority <= known.priority
-            && spec.team == known.team
-            && spec.types == known.types
-            && spec.zone == known.zone
-            && (known.spot || !spec.spot)
-    }
-}
-
-pub(super) struct View {
-    /// Emptied when nominations change, and with them what is held and stopped.
-    hopeless: Vec<Hopeless>,
-    rooms: Vec<Room>,
-    /// What each team's tasks take, those that silent machines may hold included.
-    usage: Usage,
-    /// The part of it that is stopping.
-    leaving: Usage,
-    /// Tasks of the job at hand by zone, and the replicas by machine.
-    pub(super) zones: BTreeMap<Arc<str>, u32>,
-}
-
-impl View {
-    /// Another job like it found no room. A nominated one may have room that is held
-    /// for itself alone.
-    fn rules_out(&self, job: &Job) -> bool {
-        job.nominations.is_empty() && self.hopeless.iter().any(|h| h.covers(&job.spec))
-    }
-}
-
 /// Victims on one machine.
 struct Plan {
     room: usize,
@@ -211,9 +98,33 @@
             return true;
         }
         let spec = &job.spec;
-        self.held(id, job)
+        if (job.version < self.claim && view.silent.contains(id))
             || self.shut.is_some_and(|shut| spec.priority <= shut)
-            || view.rules_out(job)
+            || view.rules_out(spec, !job.nominations.is_empty())
+        {
+            return true;
+        }
+        if !self.at_limit(view, spec, now) {
+            return false;
+        }
+        // No room is looked at for what may have none. Its turn is counted all the same.
+        let (near, seats) = (self.goes_near(job, now), !spec.licences.is_empty());
+        if seats {
+            self.retry_by(now + SEATS_AGAIN);
+        }
+        if near && let Some(job) = self.jobs.get_mut(id) {
+            job.passed_over.get_or_insert(now);
+        }
+        true
+    }
+
+    /// Not the least that could start of the job is within what its team may use.
+    fn at_limit(&self, view: &View, spec: &JobSpec, now: Duration) -> bool {
+        let least = match spec.kind {
+            Kind::Gang => spec.tasks,
+            _ => 1,
+        };
+        self.over_limit(view, spec, least, now)
     }
 
     /// The parked are tried again by then at the latest.
@@ -228,11 +139,14 @@
             return;
         };
         let spec = job.spec.clone();
-        if view.rules_out(job) {
+        if view.rules_out(&spec, !job.nominations.is_empty()) || self.at_limit(view, &spec, now) {
+            if !spec.licences.is_empty() {
+                self.retry_by(now + SEATS_AGAIN);
+            }
             self.queue.park(id);
             return;
         }
-        view.zones = self.zones(&id);
+        view.look_at(&spec, &self.machines);
         let all = match spec.kind {
             Kind::Gang => self.place_gang(view, &id, &spec, now),
             _ => self.place_tasks(view, &id, &spec, now),
@@ -293,45 +207,17 @@
                 }
             }
         }
-        let mut rooms: Vec<Room> = self
+        let rooms: Vec<Room> = self
             .machines
             .values()
             .filter(|m| self.usable(m, now))
             .map(Room::new)
             .collect();
-        for (id, job) in &self.jobs {
-            for machine in &job.nominations {
-                // Rooms are in the order of the machines' names.
-                if let Ok(at) = rooms.binary_search_by(|r| r.id.cmp(machine)) {
-                    let room = &mut rooms[at];
-                    room.held
-                        .push((job.spec.priority, id.clone(), job.spec.need));
-                }
-            }
-        }
-        View {
-            hopeless: Vec::new(),
-            rooms,
-            usage,
-            leaving,
-            zones: BTreeMap::new(),
+        let mut view = View::new(rooms, usage, leaving, listed_by_silent(&self.machines));
+        for job in self.jobs.values().filter(|j| !j.nominations.is_empty()) {
+            view.hold(&job.spec, &job.nominations);
         }
-    }
-
-    /// Zones that tasks of the job are in, the stopping ones included.
-    pub(super) fn zones(&self, id: &JobId) -> BTreeMap<Arc<str>, u32> {
-        let mut zones = BTreeMap::new();
-        let spec = &self.jobs[id].spec;
-        if spec.one_zone || spec.spread || spec.kind == Kind::Service {
-            for machine in self.machines.values() {
-                for ((task, _), p) in &machine.tasks {
-                    if task.job == *id && !p.exited() {
-                        *zones.entry(machine.zone.clone()).or_insert(0) += 1;
-                    }
-                }
-            }
-        }
-        zones
+        view
     }
 
     /// Fills the best rooms for an array's tasks, the best one first. A task that
@@ -429,31 +315,15 @@
         let spec = self.jobs[&id].spec.clone();
         self.take_seats(&spec, &task, attempt, now);
         self.place(machine, task, attempt, now);
-        let job = &self.jobs[&id];
-        let spec = &job.spec;
-        view.rooms[room].free = view.rooms[room].free.minus(&spec.need);
-        let kept = &mut view.rooms[room].kept[spec.priority as usize];
-        *kept = kept.plus(&spec.need);
-        view.usage.add(&spec.team, &spec.need);
-        let zone = self.machines[machine].zone.clone();
-        *view.zones.entry(zone).or_insert(0) += 1;
-        if job.nominations.len() != held {
+        view.put(room, &spec);
+        if self.jobs[&id].nominations.len() != held {
             self.refresh_held(view, &id);
         }
     }
 
-    /// The nominations of one job have changed.
     fn refresh_held(&self, view: &mut View, id: &JobId) {
         let job = &self.jobs[id];
-        view.hopeless.clear();
-        for room in &mut view.rooms {
-            room.held.retain(|(_, held, _)| held != id);
-            let count = job.nominations.iter().filter(|m| **m == room.id).count();
-            for _ in 0..count {
-                room.held
-                    .push((job.spec.priority, id.clone(), job.spec.need));
-            }
-        }
+        view.refresh_held(&job.spec, &job.nominations);
     }
 
     fn over_limit(&self, view: &View, spec: &JobSpec, tasks: u32, now: Duration) -> bool {
@@ -471,10 +341,9 @@
 
     /// Whether the job may have a task there, room aside.
     fn allowed(&self, view: &View, room: &Room, spec: &JobSpec) -> bool {
-        let machine = &self.machines[&room.id];
-        spec.allows_type(&machine.machine_type)
-            && spec.allows_place(&machine.zone, machine.spot)
-            && zone_allowed(&view.zones, &machine.zone, spec)
+        spec.allows_type(&room.machine_type)
+            && spec.allows_place(&room.zone, room.spot)
+            && zone_allowed(&view.zones, &room.zone, spec)
     }
 
     /// Both checks: with the nominated tasks of equal or higher priority taken
@@ -741,6 +610,8 @@
         info!(job = %id, machine = %machine, victims = plan.victims.len(), breaches = plan.breaches, "nominate");
         self.counts.nominations += 1;
         let grace = self.config.options.grace;
+        // One that was never sent is taken back.
+        view.stale();
         for key in &plan.victims {
             info!(task = %key.0, machine = %machine, by = %id, "preempt");
             self.counts.victims += 1;
@@ -869,7 +740,7 @@
         let zones_before = view.zones.clone();
         let mut chosen = Vec::new();
         for room in &mut view.rooms {
-            if !zones.contains(&self.machines[&room.id].zone) {
+            if !zones.contains(&room.zone) {
                 room.free = Resources::default().minus(&spec.need);
             }
         }
@@ -878,7 +749,7 @@
                 break;
             };
             view.rooms[i].free = view.rooms[i].free.minus(&spec.need);
-            let zone = self.machines[&view.rooms[i].id].zone.clone();
+            let zone = view.rooms[i].zone.clone();
             *view.zones.entry(zone).or_insert(0) += 1;
             chosen.push(i);
         }
@@ -914,7 +785,7 @@
                 let room = &mut view.rooms[plan.room];
                 room.free = room.free.plus(&plan.freed).minus(&spec.need);
                 room.victims.extend(plan.victims.iter().cloned());
-                let zone = self.machines[&room.id].zone.clone();
+                let zone = room.zone.clone();
                 *view.zones.entry(zone).or_insert(0) += 1;
                 plans.push(plan);
             }
