A leader that peers refuse writes signs of life; processes of one name are told apart

Need: with connections between nodes refused, leaders superseded one another every 5.5 s, since nobody heard them though the state service answered all. And a process that is back within a fraction of a second may be sent the answer to a report that the one before it relayed: numbers began at one each time, so another worker could have been given its commands.

A leader that some node does not say it hears writes live/sign, at most every 1.4 s, on condition of its claim, with how many machines it hears. Nodes that see it send workers to the leader and do not supersede it, unless more workers left it than it hears. Relay numbers begin at a random place in each process. An address that is still taken is tried again for 10 s, and the backlog goes by the sockets.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -110,6 +110,7 @@
             licences: None,
             rollout: None,
             maintenance: None,
+            incarnation: 0,
             idle_boots: self.idle_boots,
             grace: settings::seconds(self.grace_s),
             disruption_budget: self.disruption_budget,
--- a/src/core/config.rs
+++ b/src/core/config.rs
@@ -34,6 +34,8 @@
     pub rollout: Option<Arc<kiteyard_rollout::config::Config>>,
     /// Budgets of disruption, where machines may be emptied.
     pub maintenance: Option<Arc<kiteyard_maintenance::config::Config>>,
+    /// A number that no other process of this node has, as far as chance goes.
+    pub incarnation: u32,
 }
 
 impl Default for Options {
@@ -45,6 +47,7 @@
             licences: None,
             rollout: None,
             maintenance: None,
+            incarnation: 0,
         }
     }
 }
--- a/src/core/members/nodes.rs
+++ b/src/core/members/nodes.rs
@@ -10,7 +10,10 @@
 use serde::{Deserialize, Serialize};
 
 use super::accrual::{Accrual, Source};
-use crate::core::machine::MachineId;
+use crate::core::{
+    machine::MachineId,
+    signs::{SIGNS_EVERY, Sign},
+};
 
 /// What a node tells every other one, again and again.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -52,6 +55,8 @@
     gaps: Accrual,
     /// Machines that it heard, as it told last.
     leader_hears: u32,
+    /// When its last sign of life in the state service was seen.
+    signed: Option<Duration>,
     /// When the state service answered last, and since when without a failure.
     state: Duration,
     served_since: Option<Duration>,
@@ -86,6 +91,7 @@
             leader_since: Duration::ZERO,
             gaps: Accrual::new(Source::One),
             leader_hears: 0,
+            signed: None,
             state: Duration::ZERO,
             served_since: None,
             stranded: HashMap::new(),
@@ -121,6 +127,7 @@
             self.leader_since = now;
             self.gaps = Accrual::new(Source::One);
             self.leader_hears = 0;
+            self.signed = None;
             self.stranded.clear();
         }
         if own {
@@ -152,6 +159,26 @@
         silence < MISSED || (silence < MISSED * 3 / 2 && self.gaps.phi(now) < PHI)
     }
 
+    /// The leader wrote that it is alive.
+    pub fn sign(&mut self, sign: Sign, now: Duration) {
+        if sign.claim == self.leader.0 {
+            self.signed = Some(now);
+            self.leader_hears = sign.hears;
+        }
+    }
+
+    /// The leader's last sign is not older than two that were missed.
+    pub fn leader_writes(&self, claim: u64, now: Duration) -> bool {
+        let lately = |at: Duration| now < at + SIGNS_EVERY * 2 + MISSED / 2;
+        self.leader.0 == claim && self.signed.is_some_and(lately)
+    }
+
+    /// That node told lately that it hears the leader of this claim.
+    pub fn told_of_hearing(&self, node: &str, claim: u64, now: Duration) -> bool {
+        let heard = |p: &Pulse| p.claim == claim && p.heard < MISSED;
+        self.fresh(now).any(|(n, pulse)| n == node && heard(pulse))
+    }
+
     fn fresh(&self, now: Duration) -> impl Iterator<Item = (&String, &Pulse)> {
         let fresh = move |other: &&Other| now < other.at + FRESH;
         let others = self.others.iter();
@@ -225,7 +252,11 @@
         // One that another node hears is reached by its relays.
         let heard = |p: &Pulse| p.claim == claim && p.heard < silent;
         let stranded = self.stranded.values().filter(|at| now < **at + silent);
+        let stranded = stranded.count();
         let enough = (self.leader_hears / STRANDED_ONE_IN).max(1) as usize;
-        stranded.count() >= enough && !self.fresh(now).any(|(_, pulse)| heard(pulse))
+        // One that writes goes on, unless more of its workers left it than it hears.
+        let signed = self.signed.is_some_and(|at| now < at + silent);
+        let lives = signed && stranded <= self.leader_hears as usize;
+        stranded >= enough && !lives && !self.fresh(now).any(|(_, pulse)| heard(pulse))
     }
 }
--- a/src/core/mirror.rs
+++ b/src/core/mirror.rs
@@ -13,8 +13,9 @@
     apart::ApartRecord,
     job::{JobId, JobRecord},
     machine::MachineType,
+    signs::Sign,
     store::{
-        APART, DRAINS, Entry, Event, GENERATION, JOBS, LEADER, NODES, ORDERS, SETTLED, TYPES,
+        APART, DRAINS, Entry, Event, GENERATION, JOBS, LEADER, NODES, ORDERS, SETTLED, SIGN, TYPES,
         job_key,
     },
 };
@@ -67,6 +68,7 @@
     Leader,
     Types,
     Cluster,
+    Sign(Sign),
 }
 
 impl Mirror {
@@ -153,6 +155,11 @@
                 let revision = if event.value.is_some() { revision } else { 0 };
                 self.drains = (self.read(event).unwrap_or_default(), revision);
             }
+            // It decides nothing that is stored: one that can't be read is just no sign.
+            SIGN => {
+                let sign = event.value.as_ref()?;
+                return serde_json::from_str(sign.get()).ok().map(Noticed::Sign);
+            }
             key => match key.strip_prefix(NODES) {
                 Some(node) => self.node_told(node.to_owned(), event),
                 None => return self.apply_job(event),
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -32,8 +32,10 @@
 pub mod saves;
 pub mod sched;
 pub mod seats;
+pub mod signs;
 pub mod silent;
 pub mod store;
+mod watching;
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -51,10 +53,10 @@
 use leader::{Direct, Leader};
 use machine::{Command, DirectReply, WorkerReport};
 use members::{Members, sight::Way};
-use mirror::{Mirror, Noticed};
+use mirror::Mirror;
 use relay::{PeerMessage, Relays};
 use seats::LicenceView;
-use store::{LIVE, StateReply, StateRequest};
+use store::{StateReply, StateRequest};
 
 /// Time as a step sees it.
 #[derive(Debug, Clone, Copy)]
@@ -233,6 +235,7 @@
         former: lead::Former,
     },
     Probe,
+    Sign,
     Settle,
     Vacate {
         claim: u64,
@@ -310,6 +313,7 @@
     ranges: finals::Ranges,
     relays: Relays,
     pulses: pulse::Pulses,
+    signs: signs::Signs,
     members: Members,
     /// What the leader told for the next one.
     hints: hints::Hints,
@@ -325,8 +329,9 @@
             apart: apart::Apart::default(),
             maintenance: maintenance::Maintenance::default(),
             ranges: finals::Ranges::default(),
-            relays: Relays::default(),
+            relays: Relays::new(config.options.incarnation),
             pulses: pulse::Pulses::default(),
+            signs: signs::Signs::default(),
             members: Members::new(config.report, config.worker_lease_bound),
             config,
             clock: Clock {
@@ -452,6 +457,7 @@
         self.pump_pulses();
         self.pump_rollout();
         self.pump_lead();
+        self.pump_signs();
         self.pump_apart();
         self.pump_maintenance();
         self.pump_polls();
@@ -505,34 +511,6 @@
         self.pump_saves();
     }
 
-    fn pump_mirror(&mut self) {
-        let now = self.now();
-        if !self.mirror.loaded {
-            if !self.loading && now >= self.retry_load {
-                self.loading = true;
-                self.mirror = Mirror::default();
-                self.call(
-                    Purpose::Load { after: false },
-                    StateRequest::List {
-                        prefix: LIVE.into(),
-                        after: None,
-                    },
-                );
-            }
-        } else if !self.watching && now >= self.retry_watch {
-            self.watching = true;
-            let after = self.mirror.cursor;
-            self.call(
-                Purpose::Watch,
-                StateRequest::Watch {
-                    prefix: LIVE.into(),
-                    after,
-                    wait: WATCH_WAIT,
-                },
-            );
-        }
-    }
-
     fn direct_reply(&mut self, direct: &Direct, reply: DirectReply) {
         let now = self.now();
         match &reply {
@@ -621,6 +599,7 @@
                 former,
             } => self.claimed(lease, sent, former, reply),
             Purpose::Probe => self.probed(),
+            Purpose::Sign => self.signed(),
             Purpose::Settle => self.settled(),
             Purpose::Vacate { claim } => self.vacated(claim, &reply),
             Purpose::Accept {
@@ -649,85 +628,6 @@
         }
     }
 
-    fn loaded(&mut self, after: bool, reply: StateReply) {
-        let StateReply::Entries {
-            entries,
-            more,
-            revision,
-        } = reply
-        else {
-            self.loading = false;
-            self.retry_load = self.now() + BACK_OFF;
-            return;
-        };
-        // Pages are read one after another; the watch from the first page's
-        // revision on brings whatever changed meanwhile.
-        if !after {
-            self.mirror.cursor = revision;
-        }
-        let last = entries.last().map(|e| e.key.clone());
-        self.mirror.load(entries);
-        if let (true, Some(last)) = (more, last) {
-            self.call(
-                Purpose::Load { after: true },
-                StateRequest::List {
-                    prefix: LIVE.into(),
-                    after: Some(last),
-                },
-            );
-        } else {
-            self.loading = false;
-            self.mirror.loaded = true;
-            self.leader_seen();
-        }
-    }
-
-    /// Takes in the events of a watch; says whether the copy is proven.
-    fn take_events(&mut self, reply: StateReply) -> bool {
-        match reply {
-            StateReply::Events { events, revision } => {
-                for noticed in self.mirror.advance(&events, revision) {
-                    self.notice(noticed);
-                }
-                true
-            }
-            StateReply::TooOld => {
-                // Too much was missed: everything is read again.
-                self.mirror.loaded = false;
-                self.drop_leader("fell behind the state service");
-                false
-            }
-            _ => false,
-        }
-    }
-
-    fn notice(&mut self, noticed: Noticed) {
-        let now = self.now();
-        match noticed {
-            Noticed::JobAdded(id) => self.job_added(&id),
-            Noticed::JobRemoved(id) => {
-                self.saves.charge(2.0);
-                if let Some(leader) = &mut self.leader {
-                    leader.remove_job(&id, now);
-                }
-            }
-            Noticed::Leader => self.leader_changed(),
-            Noticed::Cluster => {}
-            Noticed::Types => {
-                if let (Some(leader), Some(types)) = (&mut self.leader, &self.mirror.types) {
-                    leader.types = types.clone();
-                }
-            }
-        }
-    }
-
-    fn job_added(&mut self, id: &JobId) {
-        self.saves.charge(1.0);
-        if let (Some(leader), Some(job)) = (&mut self.leader, self.mirror.jobs.get(id)) {
-            leader.add_job(id, job, job::TaskSet::default());
-        }
-    }
-
     fn keep_final(&mut self, id: JobId, record: FinalRecord) {
         if self.finals.insert(id.clone(), record).is_none() {
             self.finals_order.push_back(id);
--- a/src/core/pulse.rs
+++ b/src/core/pulse.rs
@@ -34,6 +34,11 @@
 const WORKER_ANSWER: Duration = Duration::from_secs(4);
 const WORKER_RETRY: Duration = Duration::from_secs(1);
 
+/// A worker that was sent to a node and is not answered there is back by then.
+pub const WORKER_RETURNS: Duration = WORKER_ANSWER
+    .saturating_add(WORKER_RETRY)
+    .saturating_add(Duration::from_secs(1));
+
 /// After a change of the leader, workers that reported to another node have turned to
 /// the new one within this time.
 pub fn turning(report: Duration) -> Duration {
--- a/src/core/relay.rs
+++ b/src/core/relay.rs
@@ -14,6 +14,7 @@
     job::JobId,
     machine::{MachineId, WorkerReport},
     members::{nodes::Pulse, sight::Way},
+    pulse::WORKER_RETURNS,
     seats::LicenceView,
 };
 
@@ -67,6 +68,9 @@
 
 #[derive(Debug, Default)]
 pub struct Relays {
+    /// The last number that was given. An answer to the process before this one may come
+    /// here yet: it must not be taken for one to another worker's report, so each process
+    /// begins elsewhere.
     next: u64,
     waiting: BTreeMap<u64, Waiting>,
     held: Vec<Held>,
@@ -83,6 +87,13 @@
 }
 
 impl Relays {
+    pub fn new(incarnation: u32) -> Self {
+        Self {
+            next: u64::from(incarnation) << 32,
+            ..Self::default()
+        }
+    }
+
     pub fn counts(&self, id: &JobId) -> (u32, u32) {
         self.digest.get(id).copied().unwrap_or((0, 0))
     }
@@ -121,7 +132,12 @@
             self.machine_heard(&report.machine, &report.zone, Way::Report);
         }
         if lost_way && !self.hears_leader() {
-            self.hold(request, report);
+            match self.leader_writes() && self.hearer().is_none() {
+                // Nobody can pass it on, and the leader goes on without: the worker tries
+                // the ways that it has.
+                true => self.answer(request, Answer::Redirect(None)),
+                false => self.hold(request, report),
+            }
             return;
         }
         if lost_way && self.relays_full(&report.machine) {
@@ -159,6 +175,11 @@
     fn lost_way(&mut self, report: &WorkerReport, claim: u64) -> bool {
         let now = self.now();
         let knows = report.token >> 16 == claim;
+        if !self.hears_leader() && self.leader_writes() {
+            // Nothing is relayed: it is sent to the leader, unless it comes from there.
+            let tried = self.relays.tried.get(&report.machine);
+            return tried.is_some_and(|at| now < *at + WORKER_RETURNS);
+        }
         if knows && !self.hears_leader() {
             return true;
         }
@@ -233,7 +254,7 @@
             return;
         }
         let now = self.now();
-        let heard = self.hears_leader() && self.other_leader().is_some();
+        let heard = (self.hears_leader() || self.leader_writes()) && self.other_leader().is_some();
         let on = heard || self.leads() || self.hearer().is_some();
         for held in std::mem::take(&mut self.relays.held) {
             if on {
--- a/src/core/store.rs
+++ b/src/core/store.rs
@@ -20,6 +20,8 @@
 pub const DRAINS: &str = "live/drains";
 /// Zones that are cut off, and since when nobody there was answered.
 pub const APART: &str = "live/apart";
+/// The leader's last sign of life, while some node may not hear it.
+pub const SIGN: &str = "live/sign";
 /// What each node's process is able to.
 pub const NODES: &str = "live/node/";
 pub const JOBS: &str = "live/job/";
--- a/src/io/mod.rs
+++ b/src/io/mod.rs
@@ -51,13 +51,12 @@
         signal_hook::flag::register(signal_hook::consts::SIGTERM, asked_to_end.clone())?;
     }
     let config = Config::new(&settings, options);
-    let listener = server::bind(settings.listen)?;
-    let peer_listener = server::bind(settings.peer_listen)?;
+    let sockets = settings.params.resources.sockets;
+    let listener = server::bind(settings.listen, sockets).await?;
+    let peer_listener = server::bind(settings.peer_listen, sockets).await?;
     let tasks = tokio::task::LocalSet::new();
     tasks
         .run_until(async move {
-            let listener = tokio::net::TcpListener::from_std(listener)?;
-            let peer_listener = tokio::net::TcpListener::from_std(peer_listener)?;
             tokio::task::spawn_local(server::serve(listener, calls, licensed));
             let (results, mut replies) = mpsc::unbounded_channel::<Input>();
             let peers = settings.peers.len();
--- a/src/io/server.rs
+++ b/src/io/server.rs
@@ -1,9 +1,10 @@
 //! What users, workers and the load balancer reach.
 
 use std::{
-    net::{SocketAddr, TcpListener},
+    io::ErrorKind,
+    net::SocketAddr,
     sync::Arc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use poem::{
@@ -12,7 +13,11 @@
     listener::TcpAcceptor,
     post,
 };
-use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::{
+    net::{TcpListener, TcpSocket},
+    sync::{Semaphore, mpsc, oneshot},
+};
+use tracing::info;
 
 use super::Call;
 use crate::{
@@ -27,10 +32,45 @@
 const ANSWER_WITHIN: Duration = Duration::from_secs(4);
 const IDLE_CONNECTION: Duration = Duration::from_secs(60);
 
-pub fn bind(addr: SocketAddr) -> std::io::Result<TcpListener> {
-    let listener = TcpListener::bind(addr)?;
-    listener.set_nonblocking(true)?;
-    Ok(listener)
+/// A process that is started again at once may find its address still taken: it is tried
+/// for so long, so often.
+const BIND_WITHIN: Duration = Duration::from_secs(10);
+const BIND_AGAIN: Duration = Duration::from_millis(20);
+/// Connections that may wait to be accepted, of those that a node may have in all.
+const BACKLOG: std::ops::RangeInclusive<usize> = 128..=8192;
+
+/// Listens on the address. A fleet that lost its node comes back all at once, so the
+/// number of connections that may wait goes by how many `sockets` there may be.
+pub async fn bind(addr: SocketAddr, sockets: usize) -> std::io::Result<TcpListener> {
+    let backlog = sockets.clamp(*BACKLOG.start(), *BACKLOG.end()) as u32;
+    let since = Instant::now();
+    let mut told = false;
+    loop {
+        let error = match listen(addr, backlog) {
+            Ok(listener) => return Ok(listener),
+            Err(error) => error,
+        };
+        if error.kind() != ErrorKind::AddrInUse || since.elapsed() > BIND_WITHIN {
+            let what = format!("can't listen on {addr}: {error}");
+            return Err(std::io::Error::new(error.kind(), what));
+        }
+        if !told {
+            told = true;
+            info!(%addr, within = ?BIND_WITHIN, "address in use: tried again");
+        }
+        tokio::time::sleep(BIND_AGAIN).await;
+    }
+}
+
+fn listen(addr: SocketAddr, backlog: u32) -> std::io::Result<TcpListener> {
+    let socket = match addr {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    // Connections of the former process that are closing don't keep the address.
+    socket.set_reuseaddr(true)?;
+    socket.bind(addr)?;
+    socket.listen(backlog)
 }
 
 #[derive(Clone)]
@@ -42,7 +82,7 @@
 }
 
 pub async fn serve(
-    listener: tokio::net::TcpListener,
+    listener: TcpListener,
     calls: mpsc::Sender<Call>,
     licensed: bool,
 ) -> std::io::Result<()> {
--- a/src/main.rs
+++ b/src/main.rs
@@ -61,6 +61,7 @@
         licences,
         rollout,
         maintenance,
+        incarnation: rand::random(),
         ..cli.options()
     };
     runtime.block_on(io::serve(settings, options))?;
