The simulated world brings processes back within half a second, ends them again in start-up

A relay's answer to the process before is shown to be nobody's, and to be taken for another worker's where nothing tells processes apart.

--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -14,7 +14,8 @@
         members::nodes::Pulse,
         mirror::LeaderRecord,
         relay::PeerMessage,
-        store::{Entry, Event, LEADER, StateReply, StateRequest},
+        signs::Sign,
+        store::{Entry, Event, LEADER, SIGN, StateReply, StateRequest},
     },
     settings::Settings,
     wire,
@@ -138,8 +139,16 @@
 
 /// A node that has read the live keys, and its watch.
 fn loaded(entries: Vec<Entry>) -> (Node, CallId) {
+    loaded_as(0, entries)
+}
+
+fn loaded_as(incarnation: u32, entries: Vec<Entry>) -> (Node, CallId) {
+    let options = Options {
+        incarnation,
+        ..Options::default()
+    };
     let settings = Settings::parse(SETTINGS).expect("good settings");
-    let mut node = Node::new(Config::new(&settings, Options::default()));
+    let mut node = Node::new(Config::new(&settings, options));
     let outputs = step(&mut node, 1, Input::Tick);
     let call = state_call(&outputs, |r| matches!(r, StateRequest::List { .. }));
     let call = call.expect("the live keys are read");
@@ -215,33 +224,118 @@
     serde_json::value::to_raw_value(&record).expect("a record")
 }
 
-/// Workers that lost the leader were sent on for as long as no other node led, some
-/// of them to the node that was gone, and their leases ran out on the way.
-#[test]
-fn a_worker_without_a_leader_waits_until_there_is_one() {
-    let (mut node, watch) = loaded(vec![Entry {
-        key: LEADER.into(),
-        value: leads("n1"),
-        version: 9,
-    }]);
-    let report = WorkerReport {
-        machine: Arc::from("vm-1"),
+fn report_of(machine: &str, token: u64) -> WorkerReport {
+    WorkerReport {
+        machine: Arc::from(machine),
         addr: "127.0.0.1:9".parse().expect("an address"),
         machine_type: Arc::from("m"),
         zone: Arc::from("a"),
         spot: false,
         session: 1,
         seq: 5,
-        token: 9 << 16,
+        token,
         notice_s: None,
         tasks: Vec::new(),
+    }
+}
+
+fn answered(outputs: &[Output]) -> Option<(u64, Answer)> {
+    outputs.iter().find_map(|output| match output {
+        Output::Answer { request, answer } => Some((*request, answer.clone())),
+        _ => None,
+    })
+}
+
+fn led_by_n1() -> Vec<Entry> {
+    vec![Entry {
+        key: LEADER.into(),
+        value: leads("n1"),
+        version: 9,
+    }]
+}
+
+/// The number under which a node relays the report of a worker that comes back to it.
+fn relays(node: &mut Node, machine: &str) -> u64 {
+    let pulse = Pulse {
+        claim: 9,
+        ..Pulse::default()
+    };
+    let from = "n1".to_owned();
+    let message = PeerMessage::Pulse(pulse);
+    step(node, 3, Input::Peer { from, message });
+    let report = || report_of(machine, 0);
+    let at = |request| Input::Report {
+        request,
+        report: report(),
+    };
+    step(node, 4, at(1));
+    let outputs = step(node, 5, at(2));
+    let relay = outputs.iter().find_map(|output| match output {
+        Output::Peer {
+            message: PeerMessage::Report { relay, .. },
+            ..
+        } => Some(*relay),
+        _ => None,
+    });
+    relay.expect("a relay")
+}
+
+/// What the leader answers to a report that the former process relayed is not given to
+/// a worker of the next one. With one and the same number it would be.
+#[test]
+fn an_answer_to_the_process_before_is_nobodys() {
+    let given = |incarnations: [u32; 2]| {
+        let [(mut former, _), (mut next, _)] =
+            incarnations.map(|incarnation| loaded_as(incarnation, led_by_n1()));
+        let relay = relays(&mut former, "vm-1");
+        relays(&mut next, "vm-2");
+        let answer = Some(Answer::Commands {
+            token: 9 << 16,
+            commands: Vec::new(),
+        });
+        let (from, message) = ("n1".to_owned(), PeerMessage::Reported { relay, answer });
+        answered(&step(&mut next, 6, Input::Peer { from, message }))
+    };
+    assert!(given([0, 0]).is_some(), "nothing tells them apart");
+    assert_eq!(given([1, 2]), None);
+}
+
+/// A leader that is not heard, but writes that it lives: workers are sent there, and those
+/// that come from there are not held up.
+#[test]
+fn workers_are_sent_to_a_leader_that_only_the_state_service_hears() {
+    let (mut node, watch) = loaded(led_by_n1());
+    let at = |request| Input::Report {
+        request,
+        report: report_of("vm-1", 9 << 16),
     };
-    let answered = |outputs: &[Output]| {
-        outputs.iter().find_map(|output| match output {
-            Output::Answer { request, answer } => Some((*request, answer.clone())),
-            _ => None,
-        })
+    let sign = Sign { claim: 9, hears: 5 };
+    let reply = StateReply::Events {
+        events: vec![Event {
+            key: SIGN.into(),
+            value: Some(serde_json::value::to_raw_value(&sign).expect("a sign")),
+            revision: 12,
+        }],
+        revision: 12,
     };
+    step(&mut node, 8_000, Input::State { call: watch, reply });
+    let to_leader = Answer::Redirect(Some("n1".into()));
+    assert_eq!(
+        answered(&step(&mut node, 8_100, at(1))),
+        Some((1, to_leader))
+    );
+    let next = Answer::Redirect(None);
+    assert_eq!(answered(&step(&mut node, 8_600, at(2))), Some((2, next)));
+    // It is silent again: a report waits for whoever leads next.
+    assert_eq!(answered(&step(&mut node, 20_000, at(3))), None);
+}
+
+/// Workers that lost the leader were sent on for as long as no other node led, some
+/// of them to the node that was gone, and their leases ran out on the way.
+#[test]
+fn a_worker_without_a_leader_waits_until_there_is_one() {
+    let (mut node, watch) = loaded(led_by_n1());
+    let report = report_of("vm-1", 9 << 16);
     let alive = PeerMessage::Pulse(Pulse::default());
     let pulse = |message| Input::Peer {
         from: "n2".into(),
--- a/tests/world/cases.rs
+++ b/tests/world/cases.rs
@@ -32,6 +32,8 @@
     LeaderEnds,
     /// All nodes end at once.
     AllEnd,
+    /// All end, and again while they start: each before its first answer, or soon after it.
+    EndAgain,
     /// The state service is away.
     Outage,
     /// A node that does not lead is started again from the old build.
@@ -104,6 +106,14 @@
                 self.crash(node.unwrap_or(leader));
             }
             Case::AllEnd => (0..NODES).for_each(|node| self.crash(node)),
+            Case::EndAgain => {
+                for again in [0, 60, 350, 700, 1200] {
+                    for node in 0..NODES {
+                        let at = ms(again + 90 * node as u64);
+                        self.push(self.now + at, Event::Crash(node));
+                    }
+                }
+            }
             Case::Outage => {
                 self.outage = true;
                 self.push(until, Event::OutageEnds);
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -129,7 +129,10 @@
 }
 
 fn keeps_the_rules(scale: Scale, seed: u64, troubles: &[(Case, u64)]) {
-    let mut world = World::sized(scale, seed, Sabotage::None);
+    keeps_the_rules_in(World::sized(scale, seed, Sabotage::None), seed, troubles);
+}
+
+fn keeps_the_rules_in(mut world: World, seed: u64, troubles: &[(Case, u64)]) {
     for (number, trouble) in troubles.iter().enumerate() {
         world = world.with(20_000 + 4_000 * number as u64, trouble.0, lasts(*trouble));
     }
@@ -164,6 +167,33 @@
     }
 }
 
+const ENDS: [(Case, u64); 3] = [
+    (Case::LeaderEnds, 0),
+    (Case::AllEnd, 0),
+    (Case::EndAgain, 0),
+];
+
+/// Processes that end are back within half a second, while what the one before sent and
+/// was sent is on its way.
+#[test]
+fn rules_hold_when_processes_are_back_at_once() {
+    let quick = |scale, seed| World::sized(scale, seed, Sabotage::None).quick();
+    for seed in seeds(1) {
+        for ends in ENDS {
+            keeps_the_rules_in(quick(MEDIUM, seed), seed, &[ends]);
+            for case in CASES {
+                keeps_the_rules_in(quick(MEDIUM, seed), seed, &[case, ends]);
+                keeps_the_rules_in(quick(MEDIUM, seed), seed, &[ends, case]);
+            }
+        }
+    }
+    for seed in seeds(8) {
+        let mut world = quick(SMALL, seed);
+        world.run();
+        assert_eq!(world.observer.broken(), Vec::<String>::new(), "seed {seed}");
+    }
+}
+
 #[test]
 fn rules_hold_with_a_thousand_machines() {
     for seed in seeds(1) {
--- a/tests/world/sim.rs
+++ b/tests/world/sim.rs
@@ -167,6 +167,8 @@
     User(usize),
     Trouble,
     Restart(usize),
+    /// A line between nodes, for whatever process is there by then.
+    Line(usize, Input),
     /// What a process had decided when it was stopped goes out now.
     Outputs(usize, u64, Vec<Output>),
     OutageEnds,
@@ -254,6 +256,8 @@
     pub steps: u64,
     pub nodes: Vec<Option<Node>>,
     pub epochs: Vec<u64>,
+    /// In how many milliseconds a process that ended is back.
+    back: std::ops::Range<u64>,
     started: Vec<Duration>,
     paces: Vec<f64>,
     asked: HashMap<(usize, u64, RequestId), Asker>,
@@ -343,6 +347,7 @@
             steps: 0,
             nodes: (0..NODES).map(|_| None).collect(),
             epochs: vec![0; NODES],
+            back: 1500..5000,
             started: vec![Duration::ZERO; NODES],
             paces: vec![1.0; NODES],
             asked: HashMap::new(),
@@ -394,6 +399,12 @@
         world
     }
 
+    /// Processes that end are back within a fraction of a second.
+    pub fn quick(mut self) -> Self {
+        self.back = 0..500;
+        self
+    }
+
     /// Brings about a case at a time.
     pub fn with(mut self, at: u64, case: Case, lasts: Duration) -> Self {
         self.push(ms(at), Event::Bring(case, lasts));
@@ -523,6 +534,7 @@
             licences: (seats > 0).then(|| Arc::new(licences)),
             rollout: self.roll.config.clone(),
             maintenance: self.roll.maintenance.clone(),
+            incarnation: self.epochs[node] as u32 + 1,
             ..Options::default()
         };
         let mut config = Config::new(&settings, options);
@@ -627,14 +639,14 @@
                 {
                     let from = format!("n{node}");
                     let input = Input::Peer { from, message };
-                    self.push(at, Event::ToNode(to, self.epochs[to], input));
+                    self.push(at, Event::Line(to, input));
                 }
             }
         }
     }
 
     fn handle(&mut self, event: Event) {
-        if let Event::Tick(node) | Event::ToNode(node, ..) = event
+        if let Event::Tick(node) | Event::ToNode(node, ..) | Event::Line(node, _) = event
             && self.frozen[node] > self.now
         {
             self.push(self.frozen[node], event);
@@ -668,6 +680,7 @@
                     self.step(node, input);
                 }
             }
+            Event::Line(node, input) => self.step(node, input),
             Event::AtState(node, epoch, call, request) => self.at_state(node, epoch, call, request),
             Event::AtCloud(node, epoch, call, request) => {
                 let reply = self.cloud(request);
@@ -1477,7 +1490,7 @@
     pub fn crash(&mut self, node: usize) {
         if self.nodes[node].take().is_some() {
             self.epochs[node] += 1;
-            let back = self.now + ms(self.rng.random_range(1500..5000));
+            let back = self.now + ms(self.rng.random_range(self.back.clone()));
             self.push(back, Event::Restart(node));
         }
     }
