A new leader stops nobody and rents nothing for room that it is about to hear of

Need: 0.14 s after a claim, with 46 of 1,241 machines heard, tasks were preempted; machines were rented 20 ms after a take-over, before the cloud's list or any report, by each of five leaders in a row.

A preemption or rental waits while a stored machine that may have the room is likely to be heard; rentals wait for the cloud's list as well. Starts wait for nothing. What the cloud refused is told to the next leader.

--- /dev/null
+++ b/crates/recovery/src/squaring.rs
@@ -0,0 +1,169 @@
+//! How far a new leader is with hearing the machines that are stored as holding tasks.
+//!
+//! Room on a machine that was not heard yet is not known. Whoever stops a task, rents a
+//! machine or returns one before that does so for what may be there already. So some orders
+//! wait, by zone, for the machines that are still likely to be heard soon. Starts on
+//! machines that were heard wait for nothing.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+/// How long to wait at most, by what workers do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Patience {
+    /// A worker that reports at all has come by then.
+    pub most: Duration,
+    /// Where some were heard and then no more for so long, the rest is not about to come.
+    pub quiet: Duration,
+}
+
+/// The machines of one zone that are stored as holding tasks.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Count {
+    pub stored: usize,
+    /// Of these, not heard and not proven empty, nor asked in vain.
+    pub silent: usize,
+    /// The way to the zone is cut: nobody there is waited for.
+    pub cut: bool,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    /// Machines are still likely to be heard.
+    Hearing,
+    /// All that is stored was heard or proven empty.
+    Squared,
+    /// Some are silent still, and nobody waits for them any more.
+    Overdue,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Input {
+    /// How the zones stand now.
+    Heard(BTreeMap<Arc<str>, Count>),
+    /// The cloud's list of machines was read whole.
+    Listed,
+}
+
+/// What has changed, for the log and for whoever held something back.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Output {
+    Stage {
+        zone: Arc<str>,
+        stage: Stage,
+        heard: usize,
+        stored: usize,
+    },
+    /// No zone is waited for any more.
+    Squared { after: Duration },
+    /// What waited for the cloud's list may go on.
+    Listed,
+}
+
+#[derive(Debug, Clone)]
+struct Zone {
+    count: Count,
+    stage: Stage,
+    /// When the number of silent machines fell last.
+    fell: Option<Duration>,
+}
+
+#[derive(Debug, Clone)]
+pub struct Squaring {
+    patience: Patience,
+    began: Duration,
+    zones: BTreeMap<Arc<str>, Zone>,
+    /// Every zone was looked at once.
+    looked: bool,
+    listed: bool,
+    squared: bool,
+}
+
+impl Squaring {
+    pub fn new(patience: Patience, now: Duration) -> Self {
+        Self {
+            patience,
+            began: now,
+            zones: BTreeMap::new(),
+            looked: false,
+            listed: false,
+            squared: false,
+        }
+    }
+
+    pub fn step(&mut self, now: Duration, input: Input) -> Vec<Output> {
+        let mut out = Vec::new();
+        match input {
+            Input::Listed if self.listed => {}
+            Input::Listed => {
+                self.listed = true;
+                out.push(Output::Listed);
+            }
+            Input::Heard(counts) => {
+                self.looked = true;
+                for (name, count) in counts {
+                    out.extend(self.heard(now, name, count));
+                }
+                if !self.squared && self.zones.values().all(|z| z.stage != Stage::Hearing) {
+                    self.squared = true;
+                    let after = now.saturating_sub(self.began);
+                    out.push(Output::Squared { after });
+                }
+            }
+        }
+        out
+    }
+
+    fn heard(&mut self, now: Duration, name: Arc<str>, count: Count) -> Option<Output> {
+        let zone = self.zones.entry(name.clone()).or_insert(Zone {
+            count,
+            stage: Stage::Hearing,
+            fell: (count.silent < count.stored).then_some(now),
+        });
+        if count.silent < zone.count.silent {
+            zone.fell = Some(now);
+        }
+        zone.count = count;
+        let waited = now >= self.began + self.patience.most;
+        let quiet = zone.fell.is_some_and(|at| now >= at + self.patience.quiet);
+        let stage = match (zone.stage, count.silent) {
+            // What was given up on is not waited for again.
+            (Stage::Hearing | Stage::Overdue, 0) | (Stage::Squared, _) => Stage::Squared,
+            (Stage::Overdue, _) => Stage::Overdue,
+            _ if waited || quiet || count.cut => Stage::Overdue,
+            _ => Stage::Hearing,
+        };
+        let changed = stage != zone.stage;
+        zone.stage = stage;
+        changed.then_some(Output::Stage {
+            zone: name,
+            stage,
+            heard: count.stored - count.silent.min(count.stored),
+            stored: count.stored,
+        })
+    }
+
+    /// Machines there are still likely to be heard: what they have room for is not known.
+    pub fn hearing(&self, zone: &str) -> bool {
+        let stage = self.zones.get(zone).map(|zone| zone.stage);
+        stage.map_or(!self.looked, |stage| stage == Stage::Hearing)
+    }
+
+    /// Any zone is still heard.
+    pub fn hears_any(&self) -> bool {
+        !self.squared
+    }
+
+    /// Machines that were ordered before may not be known yet. A cloud that gives no list is
+    /// waited for no longer than a worker.
+    pub fn unlisted(&self, now: Duration) -> bool {
+        !self.listed && now < self.began + self.patience.most
+    }
+
+    /// How each zone stands: its stage, machines heard, machines stored.
+    pub fn zones(&self) -> impl Iterator<Item = (&Arc<str>, Stage, usize, usize)> {
+        self.zones.iter().map(|(name, zone)| {
+            let Count { stored, silent, .. } = zone.count;
+            (name, zone.stage, stored - silent.min(stored), stored)
+        })
+    }
+}
--- /dev/null
+++ b/crates/recovery/tests/squaring.rs
@@ -0,0 +1,101 @@
+//! Every sequence of a few looks at one zone, against the rules said one by one.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use kiteyard_recovery::squaring::{Count, Input, Patience, Squaring, Stage};
+
+const S: Duration = Duration::from_secs(1);
+const PATIENCE: Patience = Patience {
+    most: Duration::from_secs(5),
+    quiet: Duration::from_secs(2),
+};
+const STORED: usize = 2;
+
+/// One look: how many are silent, and whether the way is cut.
+type Look = (usize, bool);
+
+fn looks() -> Vec<Look> {
+    (0..=STORED)
+        .flat_map(|silent| [(silent, false), (silent, true)])
+        .collect()
+}
+
+/// The plain model: goes through the whole history again for each question.
+fn waits_for(history: &[Look]) -> bool {
+    let over = |upto: usize| {
+        let (silent, cut) = history[upto];
+        let heard_at = (0..=upto).rev().find(|at| match at {
+            0 => history[0].0 < STORED,
+            at => history[*at].0 < history[at - 1].0,
+        });
+        let quiet = heard_at.is_some_and(|at| upto - at >= 2);
+        silent == 0 || cut || upto >= 5 || quiet
+    };
+    !(0..history.len()).any(over)
+}
+
+#[test]
+fn a_zone_is_waited_for_as_the_plain_model_says() {
+    let mut histories: Vec<Vec<Look>> = vec![Vec::new()];
+    let (mut waited, mut not) = (0, 0);
+    for _ in 0..6 {
+        let longer = histories.iter().flat_map(|history| {
+            looks()
+                .into_iter()
+                .map(|look| [history.as_slice(), &[look]].concat())
+        });
+        histories = longer.collect();
+        for history in &histories {
+            let mut squaring = Squaring::new(PATIENCE, Duration::ZERO);
+            for (at, (silent, cut)) in history.iter().enumerate() {
+                let count = Count {
+                    stored: STORED,
+                    silent: *silent,
+                    cut: *cut,
+                };
+                let zone: Arc<str> = "a".into();
+                squaring.step(S * at as u32, Input::Heard(BTreeMap::from([(zone, count)])));
+            }
+            assert_eq!(squaring.hearing("a"), waits_for(history), "{history:?}");
+            assert_eq!(squaring.hears_any(), waits_for(history), "{history:?}");
+            match waits_for(history) {
+                true => waited += 1,
+                false => not += 1,
+            }
+        }
+    }
+    assert!(waited > 10 && not > 10, "{waited} {not}");
+}
+
+#[test]
+fn one_zone_that_is_silent_holds_up_no_other() {
+    let mut squaring = Squaring::new(PATIENCE, S);
+    assert!(squaring.hearing("a"), "nothing was looked at yet");
+    let heard = |silent| Count {
+        stored: 3,
+        silent,
+        cut: false,
+    };
+    let counts = BTreeMap::from([("a".into(), heard(3)), ("b".into(), heard(0))]);
+    squaring.step(S, Input::Heard(counts));
+    assert!(squaring.hearing("a") && !squaring.hearing("b"));
+    assert!(!squaring.hearing("c"), "nothing is stored there");
+    let zones: Vec<_> = squaring
+        .zones()
+        .map(|(_, stage, heard, of)| (stage, heard, of))
+        .collect();
+    assert_eq!(zones, [(Stage::Hearing, 0, 3), (Stage::Squared, 3, 3)]);
+}
+
+#[test]
+fn the_clouds_list_is_waited_for_within_bounds() {
+    let mut squaring = Squaring::new(PATIENCE, S);
+    assert!(squaring.unlisted(S * 2));
+    assert!(
+        !squaring.unlisted(S * 6),
+        "a cloud that is away holds nothing up for ever"
+    );
+    assert_eq!(squaring.step(S * 3, Input::Listed).len(), 1);
+    assert!(!squaring.unlisted(S * 3));
+    assert!(squaring.step(S * 4, Input::Listed).is_empty());
+}
--- a/src/core/hints.rs
+++ b/src/core/hints.rs
@@ -1,6 +1,6 @@
 //! What the leader learned and the next one should not have to learn again: which
-//! images are in the machines' caches, which jobs fail wherever they run, and where
-//! the workers are.
+//! images are in the machines' caches, which jobs fail wherever they run, where
+//! the workers are, and what the cloud has refused.
 //!
 //! The leader tells the other nodes, and they tell whoever leads next. It is taken
 //! as a hint: it decides between rooms, how often a job is tried and whom to ask,
@@ -17,6 +17,7 @@
 
 use super::{
     Node, Output,
+    fleet::Kind3,
     job::JobId,
     leader::Leader,
     machine::{Machine, MachineId},
@@ -33,6 +34,9 @@
     /// Where the workers of machines are, and their session.
     #[serde(default)]
     workers: BTreeMap<MachineId, (SocketAddr, u64)>,
+    /// Kinds of machine that the cloud refused, and for how long they are not asked for.
+    #[serde(default)]
+    refused: Vec<(Kind3, Duration)>,
 }
 
 /// How often the leader tells them.
@@ -41,10 +45,11 @@
 const TOLD_MOST: usize = 8000;
 
 impl Hints {
-    fn of(leader: &Leader) -> Self {
+    fn of(leader: &Leader, now: Duration) -> Self {
         let faulty = leader.jobs.iter().filter(|(_, job)| job.faulty());
         let mut hints = Self {
             faulty: faulty.map(|(id, _)| id.clone()).take(TOLD_MOST).collect(),
+            refused: leader.fleet.refusals(now),
             ..Self::default()
         };
         let up = leader.machines.values().filter(|m| m.fenced);
@@ -78,7 +83,10 @@
     }
 
     fn is_empty(&self) -> bool {
-        self.machines.is_empty() && self.faulty.is_empty() && self.workers.is_empty()
+        self.machines.is_empty()
+            && self.faulty.is_empty()
+            && self.workers.is_empty()
+            && self.refused.is_empty()
     }
 }
 
@@ -91,7 +99,7 @@
         }
         self.next_hints = now + TELL_EVERY;
         let Some(leader) = &self.leader else { return };
-        let hints = Hints::of(leader);
+        let hints = Hints::of(leader, now);
         for to in self.config.peers.clone() {
             self.out.push(Output::Peer {
                 to,
@@ -103,7 +111,7 @@
     /// What the leader told, or to a new one what the one before did.
     pub(super) fn hints_told(&mut self, hints: Hints) {
         match &mut self.leader {
-            Some(leader) => leader.recall(hints),
+            Some(leader) => leader.recall(hints, self.clock.now),
             None => self.hints = hints,
         }
     }
@@ -125,7 +133,8 @@
 impl Leader {
     /// Takes what was told of jobs and machines that it knows, and keeps the rest
     /// for machines that are yet to report.
-    pub fn recall(&mut self, mut hints: Hints) {
+    pub fn recall(&mut self, mut hints: Hints, now: Duration) {
+        self.fleet.recall(std::mem::take(&mut hints.refused), now);
         for id in std::mem::take(&mut hints.faulty) {
             if let Some(job) = self.jobs.get_mut(&id) {
                 job.told_faulty = true;
--- a/src/core/lead.rs
+++ b/src/core/lead.rs
@@ -567,7 +567,7 @@
             zones_over: self.zones_over(),
         };
         let mut leader = Leader::new(self.config.clone(), claim, types, found, now);
-        leader.recall(std::mem::take(&mut self.hints));
+        leader.recall(std::mem::take(&mut self.hints), now);
         self.leader = Some(leader);
     }
 
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -23,12 +23,14 @@
     mirror::LiveJob,
     queue::Queue,
     roster::{Roster, ShardRecord},
+    squaring::Start,
     store::progress_key,
 };
 use kiteyard_maintenance::{
     drain::{Drains, Waits},
     ledger::Ledger,
 };
+use kiteyard_recovery::verdict::Verdict;
 
 /// Where one task stands.
 #[derive(Debug, Clone, PartialEq)]
@@ -165,8 +167,9 @@
     /// Why nothing is emptied now: by the node, and as it was logged.
     pub(super) drains_pause: Option<Waits>,
     pub(super) drains_paused: Option<Waits>,
-    /// When it took over.
+    /// When it took over, and how far it is with that.
     pub(super) since: Duration,
+    pub(super) start: Start,
     /// Zones where nobody may be sent a start.
     pub(super) withheld: BTreeSet<Arc<str>>,
     /// When the leases of zones are over that a former leader left unanswered.
@@ -247,6 +250,7 @@
             drains_pause: None,
             drains_paused: None,
             since: now,
+            start: Start::new(&config, now),
             proven: Duration::ZERO,
             attempts: claim << 24,
             next_pass: Duration::ZERO,
@@ -612,20 +616,14 @@
     /// A task in a report that this leader did not start: one that a former
     /// leader started, or one that has no business there.
     fn adopt(&mut self, id: &MachineId, key: &(TaskId, u64), phase: TaskPhase, now: Duration) {
+        let verdict = self.verdict(&key.0, phase);
+        let ours = verdict == Verdict::Adopt;
         let job = self.jobs.get_mut(&key.0.job);
         let spec = job.as_ref().map(|job| job.spec.clone());
-        let mut ours = false;
-        if let Some(job) = job
-            && !phase.exited()
-            && let Some(slot) = job.slots.get_mut(key.0.index as usize)
-            && *slot == Slot::Waiting
-        {
-            *slot = Slot::On(id.clone());
+        if let (Some(job), true) = (job, ours) {
+            job.slots[key.0.index as usize] = Slot::On(id.clone());
             job.placed += 1;
-            ours = true;
         }
-        // The result of a task counts wherever it was reached.
-        let finished = phase == TaskPhase::Exited(Why::Done);
         let machine = self.machines.get_mut(id).expect("known machine");
         let stop = (!ours).then_some(Stop::new(Duration::ZERO, now));
         machine.tasks.insert(
@@ -644,7 +642,7 @@
                 offered: 0,
             },
         );
-        if finished {
+        if verdict == Verdict::Finish {
             self.finish(&key.0, now);
         }
     }
@@ -862,6 +860,7 @@
     /// time that counts is not now, but when this claim was last known to stand.
     pub fn tick(&mut self, now: Duration) {
         self.log_counts(now);
+        self.square(now);
         // Where nothing else happens, nothing else would bring it back to the heap.
         if self.next_retry.take_if(|at| now >= *at).is_some() {
             self.requeue();
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -26,6 +26,7 @@
 pub mod pulse;
 pub mod queue;
 pub mod relay;
+mod rent;
 pub mod rollout;
 mod room;
 pub mod roster;
@@ -34,6 +35,7 @@
 pub mod seats;
 pub mod signs;
 pub mod silent;
+pub mod squaring;
 pub mod store;
 mod watching;
 
--- a/src/core/pulse.rs
+++ b/src/core/pulse.rs
@@ -32,7 +32,7 @@
 
 /// A worker waits this long for an answer, and this long before it tries another node.
 const WORKER_ANSWER: Duration = Duration::from_secs(4);
-const WORKER_RETRY: Duration = Duration::from_secs(1);
+pub const WORKER_RETRY: Duration = Duration::from_secs(1);
 
 /// A worker that was sent to a node and is not answered there is back by then.
 pub const WORKER_RETURNS: Duration = WORKER_ANSWER
--- a/src/core/sched.rs
+++ b/src/core/sched.rs
@@ -16,6 +16,7 @@
     leader::{Leader, Slot},
     machine::{Machine, MachineId, Placement, Standing},
     room::{Hopeless, Room, Usage, View, listed_by_silent},
+    squaring::Order,
 };
 
 /// The least time between two passes.
@@ -431,6 +432,9 @@
         now: Duration,
     ) -> bool {
         self.drop_spent(view, id);
+        if self.room_may_come(spec, Order::Preempt) {
+            return false;
+        }
         let waiting = self.jobs[id].waiting_count() as usize;
         while self.jobs[id].nominations.len() < waiting {
             let nominated = self.jobs[id].nominations.len() as u32;
@@ -710,7 +714,7 @@
             }
         }
         self.drop_spent(view, id);
-        if self.jobs[id].nominations.is_empty() {
+        if self.jobs[id].nominations.is_empty() && !self.room_may_come(spec, Order::Preempt) {
             self.make_room_for_gang(view, id, spec, &tasks, now);
         }
         false
--- a/tests/scheduling.rs
+++ b/tests/scheduling/main.rs
@@ -1,237 +1,25 @@
 //! The scheduling rules: a slow plain model compared with the real core over
 //! random clusters, and the examples of the paper.
 
+mod cluster;
+mod starting;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
     time::Duration,
 };
 
-use kiteyard::{
-    core::{
-        config::{Config, Options},
-        fleet::{CloudReply, CloudRequest},
-        job::{JobId, JobRecord, JobSpec, Kind, Priority, Resources, TaskId, TaskSet},
-        leader::{Found, Leader, Slot},
-        machine::{Command, MachineType, ReportedTask, Standing, TaskPhase, Why, WorkerReport},
-        mirror::LiveJob,
-        roster::{Roster, ShardRecord},
-    },
-    settings::Settings,
+use kiteyard::core::{
+    fleet::{CloudReply, CloudRequest},
+    job::{JobId, JobRecord, JobSpec, Kind, Priority, TaskId, TaskSet},
+    machine::{Command, ReportedTask, Standing, TaskPhase, Why, WorkerReport},
+    mirror::LiveJob,
+    roster::{Roster, ShardRecord},
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
-const SETTINGS: &str = r#"{
-  "label": "n0", "api_addr": "127.0.0.1:1", "cluster_listen": "127.0.0.1:2",
-  "outside": {"cloud": "127.0.0.1:3", "state": "127.0.0.1:4"},
-  "params": {
-    "zones": ["a", "b"],
-    "teams": [{"name": "red", "cpus": 8.0, "cpus_max": 1000.0}, {"name": "blue", "cpus": 4.0}],
-    "workers": {"report_s": 1.0, "lease_s": 10.0, "gang_wait_s": 30.0, "gang_peer_s": 5.0, "cancel_s": 30.0},
-    "state": {"rps": 80.0, "write_rps": 30.0, "value_kb": 16.0, "txn_ops": 16},
-    "cloud": {"rps": 8.0, "list_lag_s": 10.0},
-    "resources": {"sockets": 700}
-  }
-}"#;
-
-/// A leader with machines whose workers say what the test wants them to.
-struct Cluster {
-    leader: Leader,
-    now: Duration,
-    seq: u64,
-    running: BTreeMap<String, Vec<ReportedTask>>,
-    attempts: u64,
-}
-
-impl Cluster {
-    fn new(cpus: f64) -> Self {
-        Self::after_a_take_over(cpus, Vec::new(), Duration::ZERO)
-    }
-
-    fn after_a_take_over(
-        cpus: f64,
-        roster: Vec<(u32, ShardRecord, u64)>,
-        resolve_by: Duration,
-    ) -> Self {
-        let settings = Settings::parse(SETTINGS).expect("good settings");
-        let config = Config::new(&settings, Options::default());
-        let types = vec![MachineType {
-            name: Arc::from("m"),
-            size: amount(cpus),
-            cache_gb: 10.0,
-            fetch_gb_per_s: 1.0,
-            price: 1.0,
-            spot_price: 0.5,
-            boot_s: 30.0,
-            zones: vec![Arc::from("a"), Arc::from("b")],
-        }];
-        let found = Found {
-            jobs: &BTreeMap::new(),
-            progress: BTreeMap::new(),
-            roster,
-            resolve_by,
-            zones_over: BTreeMap::new(),
-        };
-        let now = Duration::from_secs(100);
-        Self {
-            leader: Leader::new(Arc::new(config), 5, Arc::new(types), found, now),
-            now,
-            seq: 0,
-            running: BTreeMap::new(),
-            attempts: 0,
-        }
-    }
-
-    fn machine(&mut self, name: &str) {
-        self.running.insert(name.to_owned(), Vec::new());
-        self.report(name);
-    }
-
-    fn report(&mut self, name: &str) -> Vec<Command> {
-        self.report_in_session(name, 1)
-    }
-
-    fn report_in_session(&mut self, name: &str, session: u64) -> Vec<Command> {
-        let report = self.report_under(name, session, self.leader.token);
-        let (_, commands) = self.leader.report(&report, self.now).expect("in time");
-        commands
-    }
-
-    /// A report of a worker whose highest token is the given one.
-    fn report_under(&mut self, name: &str, session: u64, token: u64) -> WorkerReport {
-        self.seq += 1;
-        self.now += Duration::from_millis(10);
-        WorkerReport {
-            machine: Arc::from(name),
-            addr: "127.0.0.1:9".parse().expect("an address"),
-            machine_type: Arc::from("m"),
-            zone: Arc::from(if name.ends_with('b') { "b" } else { "a" }),
-            spot: false,
-            session,
-            seq: self.seq,
-            token,
-            notice_s: None,
-            tasks: self.running[name].clone(),
-        }
-    }
-
-    /// Starts what was decided, as the workers would.
-    fn starts(&mut self) {
-        let machines = self.leader.machines.values_mut();
-        for machine in machines {
-            for (task, attempt) in machine.tasks.keys() {
-                let running = self.running.get_mut(&*machine.id).expect("a machine");
-                if running.iter().all(|t| t.task != *task) {
-                    running.push(ReportedTask {
-                        task: task.clone(),
-                        attempt: *attempt,
-                        phase: TaskPhase::Running,
-                    });
-                }
-            }
-        }
-    }
-
-    fn job(&mut self, spec: JobSpec) -> JobId {
-        let id = spec.id.clone();
-        let live = LiveJob {
-            record: JobRecord {
-                spec: Arc::new(spec),
-                accepted_ms: self.seq,
-            },
-            version: 10 + self.seq,
-        };
-        self.seq += 1;
-        self.leader.add_job(&id, &live, TaskSet::default());
-        id
-    }
-
-    /// A task that runs there already.
-    fn runs(&mut self, name: &str, job: &JobId, index: u32) {
-        self.attempts += 1;
-        let task = ReportedTask {
-            task: TaskId {
-                job: job.clone(),
-                index,
-            },
-            attempt: self.attempts,
-            phase: TaskPhase::Running,
-        };
-        self.running.get_mut(name).expect("a machine").push(task);
-        self.report(name);
-    }
-
-    /// A task that runs there ends.
-    fn ends(&mut self, name: &str, job: &JobId, why: Why) {
-        let tasks = self.running.get_mut(name).expect("a machine");
-        for task in tasks.iter_mut().filter(|t| t.task.job == *job) {
-            task.phase = TaskPhase::Exited(why);
-        }
-        self.report(name);
-        let tasks = self.running.get_mut(name).expect("a machine");
-        tasks.retain(|t| t.task.job != *job);
-        self.report(name);
-    }
-
-    fn pass(&mut self) {
-        self.leader.pass(self.now);
-    }
-
-    fn on(&self, job: &JobId) -> Vec<String> {
-        let slots = &self.leader.jobs[job].slots;
-        let on = |slot: &Slot| match slot {
-            Slot::On(machine) => Some(machine.to_string()),
-            _ => None,
-        };
-        slots.iter().filter_map(on).collect()
-    }
-
-    fn nominated(&self, job: &JobId) -> Vec<String> {
-        let names = self.leader.jobs[job].nominations.iter();
-        names.map(|m| m.to_string()).collect()
-    }
-
-    fn victims(&self, name: &str) -> BTreeSet<TaskId> {
-        self.leader.machines[name]
-            .tasks
-            .iter()
-            .filter(|(_, p)| p.stopping())
-            .map(|((task, _), _)| task.clone())
-            .collect()
-    }
-}
-
-fn amount(cpus: f64) -> Resources {
-    Resources {
-        cpus,
-        gpus: 0.0,
-        memory_gb: 0.0,
-    }
-}
-
-fn spec(number: usize, kind: Kind, priority: Priority, tasks: u32, cpus: f64) -> JobSpec {
-    JobSpec {
-        id: JobId::parse(&format!("run-{number:06}")).expect("an id"),
-        class: Arc::from("work"),
-        team: Arc::from("red"),
-        kind,
-        priority,
-        tasks,
-        need: amount(cpus),
-        image: Arc::from("img"),
-        image_gb: 1.0,
-        types: None,
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: false,
-        estimate_s: 10.0,
-        checkpoint_s: 0.0,
-        save_s: 0.0,
-        deadline_s: None,
-        licences: BTreeMap::new(),
-    }
-}
+use cluster::{Cluster, amount, spec};
 
 // The plain model: lists, no shortcuts.
 
@@ -930,7 +718,8 @@
 fn images_that_the_former_leader_told_of_decide_between_rooms() {
     let mut c = Cluster::new(4.0);
     let told = r#"{"images": ["one", "two"], "machines": {"vm-1": [1], "vm-3": [0]}}"#;
-    c.leader.recall(serde_json::from_str(told).expect("caches"));
+    c.leader
+        .recall(serde_json::from_str(told).expect("caches"), c.now);
     for name in ["vm-1", "vm-2", "vm-3"] {
         c.machine(name);
     }
@@ -1156,7 +945,8 @@
     let resolve_by = Duration::from_secs(105);
     let mut c = Cluster::after_a_take_over(4.0, vec![(0, shard, 1)], resolve_by);
     let told = r#"{"images":[],"machines":{},"workers":{"vm-1":["127.0.0.1:9",2]}}"#;
-    c.leader.recall(serde_json::from_str(told).expect("hints"));
+    c.leader
+        .recall(serde_json::from_str(told).expect("hints"), c.now);
     let direct = c.leader.direct_commands(c.now).pop().expect("it is called");
     c.running.insert("vm-1".into(), Vec::new());
     let report = c.report_under("vm-1", 2, c.leader.token);
--- /dev/null
+++ b/tests/scheduling/starting.rs
@@ -0,0 +1,127 @@
+//! What a new leader does while the stored machines are still to be heard.
+
+use std::{sync::Arc, time::Duration};
+
+use kiteyard::core::{
+    fleet::{CloudReply, CloudRequest},
+    job::{JobId, JobRecord, JobSpec},
+    job::{Kind, Priority, TaskSet},
+    mirror::LiveJob,
+    roster::ShardRecord,
+};
+
+use crate::cluster::{Cluster, spec};
+
+const KEPT: &str = r#"{"kinds":[["m","a",false]],"jobs":["run-000001"],
+    "machines":[["vm-1",0,[0]],["vm-2",0,[0]]]}"#;
+
+/// Two machines are stored, and the jobs were accepted before the claim.
+fn began(jobs: &[&JobSpec]) -> Cluster {
+    let shard = ShardRecord::parse(KEPT).expect("a shard");
+    let resolve_by = Duration::from_secs(140);
+    let mut c = Cluster::after_a_take_over(4.0, vec![(0, shard, 1)], resolve_by);
+    for (at, job) in jobs.iter().enumerate() {
+        let record = JobRecord {
+            spec: Arc::new((*job).clone()),
+            accepted_ms: at as u64,
+        };
+        let live = LiveJob { record, version: 2 };
+        c.leader.add_job(&job.id, &live, TaskSet::default());
+    }
+    c
+}
+
+fn looks(c: &mut Cluster) {
+    c.leader.tick(c.now);
+    c.pass();
+}
+
+/// `vm-1` runs the array whole, and a service waits for room.
+fn one_heard() -> (Cluster, JobId) {
+    let low = spec(1, Kind::Array, Priority::Normal, 1, 4.0);
+    let high = spec(2, Kind::Service, Priority::High, 1, 4.0);
+    let mut c = began(&[&low, &high]);
+    c.running.insert("vm-1".into(), Vec::new());
+    c.runs("vm-1", &low.id, 0);
+    looks(&mut c);
+    (c, high.id)
+}
+
+#[test]
+fn nobody_is_stopped_while_room_may_be_on_a_machine_that_is_still_to_be_heard() {
+    let (mut c, high) = one_heard();
+    assert!(c.nominated(&high).is_empty() && c.victims("vm-1").is_empty());
+    // It is heard, and has the room.
+    c.machine("vm-2");
+    looks(&mut c);
+    assert_eq!(c.on(&high), ["vm-2"]);
+    assert!(c.victims("vm-1").is_empty());
+}
+
+#[test]
+fn a_machine_that_stays_silent_holds_a_preemption_up_no_longer_than_a_worker_takes() {
+    let (mut c, high) = one_heard();
+    // Reports come each second: the rest was not heard for a quarter of that.
+    c.now += Duration::from_millis(300);
+    looks(&mut c);
+    assert_eq!(c.nominated(&high), ["vm-1"]);
+    // Nobody at all is heard: for as long as a worker takes that reports at all.
+    let low = spec(1, Kind::Array, Priority::Normal, 1, 4.0);
+    let mut c = began(&[&low, &spec(2, Kind::Service, Priority::High, 1, 4.0)]);
+    c.running.insert("vm-1".into(), Vec::new());
+    c.now += Duration::from_secs(3);
+    looks(&mut c);
+    c.runs("vm-1", &low.id, 0);
+    looks(&mut c);
+    assert_eq!(c.nominated(&high), ["vm-1"]);
+}
+
+#[test]
+fn nothing_is_rented_before_the_list_was_read_and_the_machines_heard() {
+    // One more than the silent machine may take.
+    let wanted = spec(2, Kind::Service, Priority::High, 2, 4.0);
+    // As high, so that nobody makes room for the other.
+    let low = spec(1, Kind::Array, Priority::High, 1, 4.0);
+    let mut c = began(&[&low, &wanted]);
+    let list = c.leader.cloud_work(c.now).expect("a request");
+    assert!(matches!(list, CloudRequest::List { .. }), "{list:?}");
+    let none = CloudReply::Machines {
+        machines: Vec::new(),
+        more: false,
+    };
+    c.leader.cloud_reply(&list, none, c.now);
+    let next = |c: &mut Cluster, ms: u64| {
+        c.now += Duration::from_millis(ms);
+        looks(c);
+        c.leader.cloud_work(c.now)
+    };
+    let rents = |request: Option<CloudRequest>| matches!(request, Some(CloudRequest::Rent(_)));
+    // The stored machines may have room.
+    assert!(!rents(next(&mut c, 600)));
+    // One is heard, and the other not.
+    c.running.insert("vm-1".into(), Vec::new());
+    c.runs("vm-1", &low.id, 0);
+    let mut later = (0..6).map(|_| next(&mut c, 600));
+    assert!(later.any(rents), "it rents in the end");
+}
+
+#[test]
+fn what_the_cloud_refused_the_former_leader_is_not_asked_for_again() {
+    let wanted = spec(2, Kind::Service, Priority::High, 1, 4.0);
+    let mut c = Cluster::new(4.0);
+    let told = r#"{"images":[],"machines":{},"refused":[[["m","a",false],{"secs":9,"nanos":0}],
+        [["m","b",false],{"secs":9,"nanos":0}]]}"#;
+    c.leader
+        .recall(serde_json::from_str(told).expect("hints"), c.now);
+    c.job(wanted);
+    let rents = |c: &mut Cluster, from: u64, to: u64| {
+        (from..to).any(|second| {
+            c.now = Duration::from_secs(100 + second);
+            looks(c);
+            let request = c.leader.cloud_work(c.now);
+            matches!(request, Some(CloudRequest::Rent(_)))
+        })
+    };
+    assert!(!rents(&mut c, 3, 9));
+    assert!(rents(&mut c, 9, 12));
+}
