--- a/crates/recovery/src/squaring.rs
+++ b/crates/recovery/src/squaring.rs
@@ -26,6 +26,10 @@
     pub cut: bool,
 }
 
+/// Where all but one in so many were heard and none has room, the rest hardly has: nobody
+/// waits for the last ones.
+const FEW_ONE_IN: usize = 10;
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stage {
     /// Machines are still likely to be heard.
@@ -125,11 +129,12 @@
         zone.count = count;
         let waited = now >= self.began + self.patience.most;
         let quiet = zone.fell.is_some_and(|at| now >= at + self.patience.quiet);
+        let few = count.silent * FEW_ONE_IN <= count.stored;
         let stage = match (zone.stage, count.silent) {
             // What was given up on is not waited for again.
             (Stage::Hearing | Stage::Overdue, 0) | (Stage::Squared, _) => Stage::Squared,
             (Stage::Overdue, _) => Stage::Overdue,
-            _ if waited || quiet || count.cut => Stage::Overdue,
+            _ if waited || quiet || count.cut || few => Stage::Overdue,
             _ => Stage::Hearing,
         };
         let changed = stage != zone.stage;
--- a/crates/recovery/tests/squaring.rs
+++ b/crates/recovery/tests/squaring.rs
@@ -87,6 +87,21 @@
     assert_eq!(zones, [(Stage::Hearing, 0, 3), (Stage::Squared, 3, 3)]);
 }
 
+#[test]
+fn nobody_waits_for_the_last_few() {
+    let hears = |silent| {
+        let mut squaring = Squaring::new(PATIENCE, S);
+        let count = Count {
+            stored: 40,
+            silent,
+            cut: false,
+        };
+        squaring.step(S, Input::Heard(BTreeMap::from([("a".into(), count)])));
+        squaring.hearing("a")
+    };
+    assert!(hears(5) && !hears(4));
+}
+
 #[test]
 fn the_clouds_list_is_waited_for_within_bounds() {
     let mut squaring = Squaring::new(PATIENCE, S);
