A room whose plan is sure to lose is not planned for

Cause: in a rush each waiting service goes through the tasks of every machine for what to stop. A room's least possible highest victim, its fetch and its keeping are known without that, so a room that loses by them is passed over.

--- a/src/core/room.rs
+++ b/src/core/room.rs
@@ -73,6 +73,19 @@
     }
 }
 
+impl Room {
+    /// At least so high is the highest victim of whoever makes room here for the job.
+    pub fn least_highest(&self, spec: &JobSpec, reclaims: bool) -> Option<Priority> {
+        if spec.need.fits_in(&self.free.plus(&self.stopping)) {
+            return None;
+        }
+        let below = spec.priority as usize + usize::from(reclaims);
+        let some = |kept: &Resources| *kept != Resources::default();
+        let lowest = self.kept[..below].iter().position(some)?;
+        Priority::ALL.get(lowest).copied()
+    }
+}
+
 /// What teams' tasks take. There are few teams, and every task of every machine
 /// is counted in every pass: a list beats a map.
 #[derive(Clone, Default)]
--- a/src/core/sched.rs
+++ b/src/core/sched.rs
@@ -38,6 +38,19 @@
     keeping: f64,
 }
 
+impl Plan {
+    /// Fewer breaches, then lower victims. Among machines that are disrupted alike, the one
+    /// with the image: what one victim more loses is less than what a fetch keeps waiting.
+    fn better_than(&self, other: &Plan) -> bool {
+        (self.breaches, self.highest)
+            .cmp(&(other.breaches, other.highest))
+            .then(self.fetch.total_cmp(&other.fetch))
+            .then(self.keeping.total_cmp(&other.keeping))
+            .then((self.victims.len(), self.room).cmp(&(other.victims.len(), other.room)))
+            .is_lt()
+    }
+}
+
 impl Leader {
     pub fn usable(&self, machine: &Machine, now: Duration) -> bool {
         machine.standing == Standing::Up
@@ -472,26 +485,52 @@
 
     fn best_plan(&self, view: &View, spec: &JobSpec) -> Option<Plan> {
         let reclaims = self.within_guarantee(view, spec);
-        (0..view.rooms.len())
-            .filter_map(|i| self.plan(view, i, spec, reclaims))
-            .min_by(|a, b| {
-                // Among machines that are disrupted alike, the one with the image: what
-                // one victim more loses is less than what a fetch keeps waiting.
-                (a.breaches, a.highest)
-                    .cmp(&(b.breaches, b.highest))
-                    .then(a.fetch.total_cmp(&b.fetch))
-                    .then(a.keeping.total_cmp(&b.keeping))
-                    .then((a.victims.len(), a.room).cmp(&(b.victims.len(), b.room)))
-            })
+        let mut best: Option<Plan> = None;
+        for (index, room) in view.rooms.iter().enumerate() {
+            let most = room.most_free(spec.priority, reclaims);
+            if !spec.need.fits_in(&most) || !self.allowed(view, room, spec) {
+                continue;
+            }
+            if best
+                .as_ref()
+                .is_some_and(|b| self.loses(room, spec, reclaims, b))
+            {
+                continue;
+            }
+            let plan = self.plan(view, index, spec, reclaims);
+            best = match (best, plan) {
+                (Some(best), Some(plan)) if plan.better_than(&best) => Some(plan),
+                (None, plan) => plan,
+                (best, _) => best,
+            };
+        }
+        best
+    }
+
+    /// Whatever the plan for this room is, it is worse than this one. Going through the
+    /// tasks of each machine for each waiting service was most of a pass in a rush.
+    fn loses(&self, room: &Room, spec: &JobSpec, reclaims: bool, best: &Plan) -> bool {
+        let least = room.least_highest(spec, reclaims);
+        if best.breaches > 0 || least != best.highest {
+            return best.breaches == 0 && least > best.highest;
+        }
+        let machine = &self.machines[&room.id];
+        let by_fetch = self.fetch_time(machine, spec).total_cmp(&best.fetch);
+        by_fetch
+            .then_with(|| self.keeping_for(machine, spec).total_cmp(&best.keeping))
+            .is_gt()
+    }
+
+    fn keeping_for(&self, machine: &Machine, spec: &JobSpec) -> f64 {
+        match spec.kind {
+            Kind::Service => self.keeping(machine),
+            _ => 0.0,
+        }
     }
 
     /// Sets aside every task that may make room, then restores those that can stay.
     fn plan(&self, view: &View, index: usize, spec: &JobSpec, reclaims: bool) -> Option<Plan> {
         let room = &view.rooms[index];
-        let most = room.most_free(spec.priority, reclaims);
-        if !spec.need.fits_in(&most) || !self.allowed(view, room, spec) {
-            return None;
-        }
         let machine = &self.machines[&room.id];
         let mut free = room.free;
         // Own nominations here are other tasks of the same job.
@@ -551,10 +590,7 @@
             highest: None,
             freed: Resources::default(),
             fetch: self.fetch_time(machine, spec),
-            keeping: match spec.kind {
-                Kind::Service => self.keeping(machine),
-                _ => 0.0,
-            },
+            keeping: self.keeping_for(machine, spec),
         };
         for (breaks, priority, _, key, victim) in budgeted {
             let without = free.minus(&victim.need);
