Rooms that are full are not asked by each waiting job

Cause: in a rush thousands of waiting arrays each looked at every room, nearly all of them full, twice a pass.

--- a/src/core/room.rs
+++ b/src/core/room.rs
@@ -86,6 +86,9 @@
     }
 }
 
+/// A room with no more than this left is full.
+const LEAST_CPUS: f64 = 1e-3;
+
 /// What teams' tasks take. There are few teams, and every task of every machine
 /// is counted in every pass: a list beats a map.
 #[derive(Clone, Default)]
@@ -128,6 +131,9 @@
     /// Emptied when nominations change, and with them what is held and stopped.
     pub hopeless: Vec<Hopeless>,
     pub rooms: Vec<Room>,
+    /// Rooms that are not full, and some that have become so since. In a rush nearly all
+    /// are full, and each of thousands of waiting jobs asks.
+    open: Vec<usize>,
     /// What each team's tasks take, those that silent machines may hold included.
     pub usage: Usage,
     /// The part of it that is stopping.
@@ -142,15 +148,34 @@
 
 impl View {
     pub fn new(rooms: Vec<Room>, usage: Usage, leaving: Usage, silent: HashSet<JobId>) -> Self {
-        Self {
+        let mut view = Self {
             hopeless: Vec::new(),
             rooms,
+            open: Vec::new(),
             usage,
             leaving,
             zones: BTreeMap::new(),
             silent,
             by_zone: None,
-        }
+        };
+        view.look_for_open();
+        view
+    }
+
+    fn look_for_open(&mut self) {
+        let open = self.rooms.iter().enumerate();
+        let open = open.filter(|(_, room)| room.free.cpus > LEAST_CPUS);
+        self.open = open.map(|(index, _)| index).collect();
+    }
+
+    /// Rooms that may have room for such a task as they are.
+    pub fn may_fit(&self, spec: &JobSpec) -> impl Iterator<Item = usize> {
+        // One that needs next to nothing may fit anywhere.
+        let (open, all) = match spec.need.cpus > 2.0 * LEAST_CPUS {
+            true => (&self.open[..], 0..0),
+            false => (&[][..], 0..self.rooms.len()),
+        };
+        open.iter().copied().chain(all)
     }
 
     /// Another job like it found no room. A nominated one may have room that is held
@@ -186,9 +211,11 @@
         }
     }
 
-    /// Tasks may have been taken back, and more room is held.
-    pub fn stale(&mut self) {
+    /// Tasks are being stopped there, and some may have been taken back.
+    pub fn recount(&mut self, room: usize, machine: &Machine) {
         self.by_zone = None;
+        self.rooms[room].count(machine);
+        self.look_for_open();
     }
 
     /// The nominations of one job have changed.
--- a/src/core/sched.rs
+++ b/src/core/sched.rs
@@ -254,7 +254,8 @@
             let sound = machine.failures.is_empty() && !failed_on.contains(&room.id);
             sound && (machine.has_image(&spec.image) || machine.fetches(&spec.image))
         };
-        let mut costs: Vec<(f64, usize)> = (0..view.rooms.len())
+        let mut costs: Vec<(f64, usize)> = view
+            .may_fit(spec)
             .filter(|room| {
                 let room = &view.rooms[*room];
                 !near || (spec.need.fits_in(&room.free) && has_image(room))
@@ -376,7 +377,7 @@
     }
 
     fn best_fit(&self, view: &View, spec: &JobSpec, now: Duration) -> Option<usize> {
-        (0..view.rooms.len())
+        view.may_fit(spec)
             .filter_map(|room| Some((self.cost(view, room, spec, now)?, room)))
             .min_by(|a, b| a.0.total_cmp(&b.0))
             .map(|(_, room)| room)
@@ -650,8 +651,6 @@
         info!(job = %id, machine = %machine, victims = plan.victims.len(), breaches = plan.breaches, "nominate");
         self.counts.nominations += 1;
         let grace = self.config.options.grace;
-        // One that was never sent is taken back.
-        view.stale();
         for key in &plan.victims {
             info!(task = %key.0, machine = %machine, by = %id, "preempt");
             self.counts.victims += 1;
@@ -660,7 +659,7 @@
             }
             self.stop(&machine, key, grace, now);
         }
-        view.rooms[plan.room].count(&self.machines[&machine]);
+        view.recount(plan.room, &self.machines[&machine]);
         self.jobs
             .get_mut(id)
             .expect("job at hand")
