--- a/tests/binary.rs
+++ b/tests/binary.rs
@@ -176,6 +176,23 @@
     }
 }
 
+/// A process that is back at once may find its address still taken, and waits for it.
+#[tokio::test]
+async fn an_address_that_is_still_taken_is_tried_again() {
+    let mut site = Site::of("taken", vec![Build::default()]).await;
+    submit(&site, 0, &submission("run-000001", "array", 1)).await;
+    site.kill(0);
+    let former = std::net::TcpListener::bind(site.nodes[0].0).expect("the address");
+    site.launch(0);
+    // The peers' address comes after the users': it is not listened on yet.
+    tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+    let child = site.running[0].as_mut().expect("a process");
+    assert!(child.try_wait().expect("its state").is_none(), "it ended");
+    assert!(std::net::TcpStream::connect(site.nodes[0].1).is_err());
+    drop(former);
+    site.becomes(0, "run-000001", "done").await;
+}
+
 #[test]
 fn flags_and_settings_are_checked() {
     let run = |args: &[&str]| {
