--- a/src/core/relay.rs
+++ b/src/core/relay.rs
@@ -132,7 +132,7 @@
             self.machine_heard(&report.machine, &report.zone, Way::Report);
         }
         if lost_way && !self.hears_leader() {
-            match self.leader_writes() && self.hearer().is_none() {
+            match self.leader_writes() {
                 // Nobody can pass it on, and the leader goes on without: the worker tries
                 // the ways that it has.
                 true => self.answer(request, Answer::Redirect(None)),
--- a/src/core/signs.rs
+++ b/src/core/signs.rs
@@ -67,9 +67,11 @@
         self.signs.next = self.now() + SIGNS_EVERY;
     }
 
-    /// The leader is not heard, nor known to be by another node, but it lives.
+    /// The leader is not heard, nor known to be by another node, but it lives. Where another
+    /// node hears it, workers are better off there: it relays for those that can't reach it.
     pub(super) fn leader_writes(&self) -> bool {
         let leader = self.mirror.leader.as_ref();
-        leader.is_some_and(|(_, claim)| self.members.nodes.leader_writes(*claim, self.now()))
+        self.hearer().is_none()
+            && leader.is_some_and(|(_, claim)| self.members.nodes.leader_writes(*claim, self.now()))
     }
 }
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -326,6 +326,16 @@
     );
     let next = Answer::Redirect(None);
     assert_eq!(answered(&step(&mut node, 8_600, at(2))), Some((2, next)));
+    // Another node hears it, and can relay: between two zones that can't reach each other,
+    // workers that were sent to the leader itself lost their leases.
+    let pulse = Pulse {
+        claim: 9,
+        ..Pulse::default()
+    };
+    let (from, message) = ("n2".to_owned(), PeerMessage::Pulse(pulse));
+    step(&mut node, 8_700, Input::Peer { from, message });
+    let relayer = Answer::Redirect(Some("n2".into()));
+    assert_eq!(answered(&step(&mut node, 8_800, at(4))), Some((4, relayer)));
     // It is silent again: a report waits for whoever leads next.
     assert_eq!(answered(&step(&mut node, 20_000, at(3))), None);
 }
