Rentals for all waiting jobs in one plan; what binds counts, not CPUs

Cause: from nothing, one call of the cloud for each job (304 services, 177 gangs) and one order after another: 230 of 1,300 machines were up at 60 s, and 6,836 tasks were preempted for room that more machines would have given. Arrays asked for nothing, since all CPUs that are up, those of gangs and replicas too, counted as clearing them, where GPUs bind.

Change: a plan goes through all demands, fills rooms that are booting, ordered or planned (those that are alike counted together) and asks for up to 50 machines a call; gangs of one zone are filled in a zone that takes them whole. The dominant share replaces CPUs in rentals, order, packing and drains; arrays count on what neither replicas nor gangs hold.

--- a/src/core/drain.rs
+++ b/src/core/drain.rs
@@ -63,7 +63,7 @@
             .filter(|m| now > self.fleet.waited_at + self.idle_time(&m.machine_type))
             .filter(|m| {
                 let used = m.size.minus(&m.free());
-                m.busy() && used.cpus * USED_ONE_IN <= m.size.cpus
+                m.busy() && used.share_of(&m.size) * USED_ONE_IN <= 1.0
             })
             .filter(|m| {
                 m.tasks.values().filter(|p| !p.exited()).all(|p| {
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -433,7 +433,7 @@
             let entry = by_class
                 .entry(job.spec.class.clone())
                 .or_insert_with(|| job.spec.clone());
-            if job.spec.need.cpus > entry.need.cpus {
+            if job.spec.need.share_of(&entry.need) > 1.0 {
                 *entry = job.spec.clone();
             }
         }
--- a/src/core/job.rs
+++ b/src/core/job.rs
@@ -198,6 +198,20 @@
             .min(part(self.memory_gb, room.memory_gb))
             .min(1e6) as u32
     }
+
+    /// The largest share that this is of any one resource of the whole: what binds. Of
+    /// what the whole has none of, nothing but nothing is a part (Ghodsi and others,
+    /// "Dominant Resource Fairness", 2011).
+    pub fn share_of(&self, whole: &Resources) -> f64 {
+        let part = |need: f64, have: f64| match (need <= SLACK, have <= SLACK) {
+            (true, _) => 0.0,
+            (false, true) => f64::INFINITY,
+            (false, false) => need / have,
+        };
+        part(self.cpus, whole.cpus)
+            .max(part(self.gpus, whole.gpus))
+            .max(part(self.memory_gb, whole.memory_gb))
+    }
 }
 
 /// What a user asked for. Stored as it is, and never changed.
--- a/src/core/order.rs
+++ b/src/core/order.rs
@@ -9,14 +9,15 @@
 use std::time::Duration;
 
 use super::{
-    job::{JobId, Kind},
+    job::{JobId, Kind, Resources},
     leader::{Job, Leader},
+    machine::Standing,
 };
 
 /// A finite job as far as its order is concerned. Times in seconds from now.
 struct Entry {
     id: JobId,
-    /// CPU seconds that are left.
+    /// Seconds that are left if the job had all that finite work may use to itself.
     work: f64,
     /// The least time it still takes.
     least: f64,
@@ -25,11 +26,14 @@
 
 /// A job that is later than this many times its due time goes first at last.
 const STARVED: f64 = 6.0;
+/// A task takes no more than so many times all there is: sums stay numbers.
+const SHARE_MOST: f64 = 1e6;
 
 impl Leader {
     /// Places of the waiting jobs, the first one lowest.
     pub fn order(&self) -> HashMap<JobId, usize> {
         let mut first: Vec<(&JobId, &Job)> = Vec::new();
+        let finite = self.finite_room();
         let mut left: Vec<Entry> = Vec::new();
         let mut last: Vec<JobId> = Vec::new();
         for (id, job) in self.jobs.iter().filter(|(_, job)| job.waiting_count() > 0) {
@@ -37,14 +41,13 @@
                 last.push(id.clone());
                 continue;
             }
-            match self.entry(id, job) {
+            match self.entry(id, job, &finite) {
                 Some(entry) => left.push(entry),
                 None => first.push((id, job)),
             }
         }
         first.sort_by_key(|(id, job)| (job.accepted_ms, job.version, (*id).clone()));
         let mut order: Vec<JobId> = first.into_iter().map(|(id, _)| id.clone()).collect();
-        let capacity = self.finite_cpus().max(1.0);
         let mut ahead = 0.0;
         for round in 0..2 {
             let (mut taken, mut late): (Vec<Option<Entry>>, _) = (Vec::new(), Vec::new());
@@ -63,7 +66,7 @@
                 // Work is never below zero, so its bits are in its order.
                 largest.push((entry.work.to_bits(), taken.len()));
                 taken.push(Some(entry));
-                if ahead / capacity > due
+                if ahead > due
                     && let Some((_, largest)) = largest.pop()
                     && let Some(put_back) = taken[largest].take()
                 {
@@ -85,7 +88,7 @@
     }
 
     /// None for jobs that go by the time they were accepted.
-    fn entry(&self, id: &JobId, job: &Job) -> Option<Entry> {
+    fn entry(&self, id: &JobId, job: &Job, finite: &Resources) -> Option<Entry> {
         let spec = &job.spec;
         if spec.kind != Kind::Array {
             return None;
@@ -110,7 +113,9 @@
         dues.retain(|due| *due >= run);
         Some(Entry {
             id: id.clone(),
-            work: spec.need.cpus * run * f64::from(spec.tasks - job.done_count),
+            work: spec.need.share_of(finite).min(SHARE_MOST)
+                * run
+                * f64::from(spec.tasks - job.done_count),
             least: run,
             dues,
         })
@@ -136,17 +141,17 @@
         }
     }
 
-    /// CPUs that are up and not taken by work without an end.
-    fn finite_cpus(&self) -> f64 {
-        let mut sum = 0.0;
-        for machine in self.machines.values() {
-            if machine.standing == super::machine::Standing::Up {
-                sum += machine.size.cpus;
-                let endless = machine.tasks.values().filter(|p| {
-                    !p.exited() && p.spec.as_ref().is_none_or(|s| s.kind == Kind::Service)
-                });
-                sum -= endless.map(|p| p.need.cpus).sum::<f64>();
-            }
+    /// What is up and not taken by replicas and gangs, which arrays don't get.
+    pub(super) fn finite_room(&self) -> Resources {
+        let mut sum = Resources::default();
+        let up = self.machines.values();
+        for machine in up.filter(|m| m.standing == Standing::Up && m.notice_at.is_none()) {
+            sum = sum.plus(&machine.size);
+            let others = machine
+                .tasks
+                .values()
+                .filter(|p| !p.exited() && p.spec.as_ref().is_none_or(|s| s.kind != Kind::Array));
+            sum = others.fold(sum, |sum, p| sum.minus(&p.need));
         }
         sum
     }
--- a/src/core/rent.rs
+++ b/src/core/rent.rs
@@ -1,14 +1,18 @@
 //! What is to be rented: for waiting work that neither running nor booting machines take.
 
+mod ahead;
+
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use tracing::info;
 
+use ahead::Ahead;
+
 use super::{
-    fleet::Rental,
+    fleet::{Kind3, Rental},
     job::{JobId, JobSpec, Kind, Resources},
     leader::{Job, Leader},
-    machine::Standing,
+    machine::{Machine, Standing},
     room::listed_by_silent,
     squaring::Order,
 };
@@ -26,50 +30,81 @@
         if self.unlisted(now) {
             return;
         }
-        while self.fleet.may_order() && self.plan_rental(now) {}
+        if !self.fleet.may_order() {
+            return;
+        }
+        for ((machine_type, zone, spot), mut wanted, job) in self.plan_orders(now) {
+            while wanted > 0 && self.fleet.may_order() {
+                let count = wanted.min(CALL_MOST);
+                wanted -= count;
+                let rental = Rental {
+                    request: String::new(),
+                    machine_type: machine_type.clone(),
+                    zone: zone.clone(),
+                    spot,
+                    count,
+                };
+                let request = self.fleet.order(rental);
+                info!(request, kind = %machine_type, %zone, spot, count, %job, "rent");
+            }
+        }
     }
 
-    fn plan_rental(&mut self, now: Duration) -> bool {
-        let mut rented = false;
-        let mut booting: Vec<(Arc<str>, Arc<str>, bool, Resources)> = self
-            .machines
-            .values()
-            .filter(|m| m.standing == Standing::Booting)
-            .map(|m| (m.machine_type.clone(), m.zone.clone(), m.spot, m.size))
-            .collect();
-        for r in self.fleet.ordered() {
-            let size = self.size(&r.machine_type);
-            for _ in 0..r.count {
-                booting.push((r.machine_type.clone(), r.zone.clone(), r.spot, size));
+    /// Machines by kind for all that waits, in as few calls as the cloud takes: one call
+    /// for each job kept a fleet that begins with nothing waiting for calls.
+    fn plan_orders(&mut self, now: Duration) -> Vec<(Kind3, u32, JobId)> {
+        let mut ahead = Ahead::default();
+        let kind = |m: &Machine| (m.machine_type.clone(), m.zone.clone(), m.spot);
+        let mut in_zone: HashMap<Arc<str>, usize> = HashMap::new();
+        // Gangs that have to stay in one zone may wait though there is room for a part.
+        let mut idle = Ahead::default();
+        for machine in self.machines.values() {
+            *in_zone.entry(machine.zone.clone()).or_insert(0) += 1;
+            if machine.standing == Standing::Booting {
+                ahead.add(&kind(machine), machine.size, 1);
+            } else if !machine.busy() && self.usable(machine, now) {
+                idle.add(&kind(machine), machine.size, 1);
             }
         }
-        let mut demands = self.demands(now);
-        for demand in &mut demands {
-            for (kind, zone, spot, room) in &mut booting {
-                let spec = &demand.spec;
-                if demand.tasks > 0 && spec.allows_type(kind) && spec.allows_place(zone, *spot) {
-                    let n = spec.need.times_in(room).min(demand.tasks);
-                    *room = room.plus_times(&spec.need, -f64::from(n));
-                    demand.tasks -= n;
-                }
-            }
+        for r in self.fleet.ordered() {
+            let kind = (r.machine_type.clone(), r.zone.clone(), r.spot);
+            ahead.add(&kind, self.size(&r.machine_type), r.count);
         }
-        for demand in demands.iter().filter(|d| d.tasks > 0) {
-            if self.room_may_come(&demand.spec, Order::Rent) {
-                continue;
+        let mut orders: Vec<(Kind3, u32, JobId)> = Vec::new();
+        for mut demand in self.demands(now) {
+            let spec = demand.spec.clone();
+            if !spec.one_zone {
+                demand.tasks = ahead.fill(&spec, None, demand.tasks);
+            } else if let Some(zone) = whole_in(&spec, demand.tasks, &ahead, &idle) {
+                let left = idle.fill(&spec, Some(&zone), demand.tasks);
+                demand.tasks = ahead.fill(&spec, Some(&zone), left);
             }
-            let Some(rental) = self.choose_rental(&demand.spec, demand.tasks) else {
+            if demand.tasks == 0 || self.room_may_come(&spec, Order::Rent) {
                 continue;
-            };
-            let kind = rental.machine_type.clone();
-            let (zone, spot, count) = (rental.zone.clone(), rental.spot, rental.count);
-            let request = self.fleet.order(rental);
-            info!(request, %kind, %zone, spot, count, job = %demand.spec.id, "rent");
-            rented = true;
-            // The next decision counts what this one brings.
-            break;
+            }
+            while demand.tasks > 0 {
+                let there = |zone: &str| match spec.one_zone {
+                    true => ahead.takes(&spec, Some(zone)) + idle.takes(&spec, Some(zone)),
+                    false => 0,
+                };
+                let Some((kind, count)) = self.choose_rental(&demand, there, &in_zone) else {
+                    break;
+                };
+                ahead.add(&kind, self.size(&kind.0), count);
+                *in_zone.entry(kind.1.clone()).or_insert(0) += count as usize;
+                if spec.one_zone {
+                    demand.tasks = idle.fill(&spec, Some(&kind.1), demand.tasks);
+                    demand.tasks = ahead.fill(&spec, Some(&kind.1), demand.tasks);
+                } else {
+                    demand.tasks = ahead.fill(&spec, None, demand.tasks);
+                }
+                match orders.iter_mut().find(|(known, ..)| *known == kind) {
+                    Some((_, sum, _)) => *sum += count,
+                    None => orders.push((kind, count, spec.id.clone())),
+                }
+            }
         }
-        rented
+        orders
     }
 
     fn size(&self, machine_type: &str) -> Resources {
@@ -83,12 +118,7 @@
     /// Waiting tasks by job, the most important first. Of finite work only what
     /// the machines that are up will not have done by the time new ones are.
     fn demands(&self, now: Duration) -> Vec<Demand> {
-        let up: f64 = self
-            .machines
-            .values()
-            .filter(|m| m.standing == Standing::Up && m.notice_at.is_none())
-            .map(|m| m.size.cpus)
-            .sum();
+        let finite = self.finite_room();
         let silent = listed_by_silent(&self.machines);
         let held = |id: &JobId, job: &Job| job.version < self.claim && silent.contains(id);
         let mut jobs: Vec<_> = self
@@ -99,7 +129,7 @@
             .filter(|j| j.waiting_count() as usize > j.nominations.len())
             .collect();
         jobs.sort_by_key(|j| (std::cmp::Reverse(j.spec.priority), j.accepted_ms, j.version));
-        let mut ahead_cpu_s = 0.0;
+        let mut ahead = 0.0;
         let mut left = self.limits_left();
         let mut demands = Vec::new();
         for job in jobs {
@@ -107,14 +137,16 @@
             let waiting = job.waiting_count() - job.nominations.len() as u32;
             let mut tasks = waiting;
             if spec.kind == Kind::Array {
-                let per_task = spec.need.cpus * spec.estimate_s.max(1.0);
-                // What is cleared while a new machine boots needs no machine.
-                let clears = up * RENT_HORIZON.as_secs_f64();
-                let over = (ahead_cpu_s + per_task * f64::from(waiting) - clears).max(0.0);
-                ahead_cpu_s += per_task * f64::from(waiting);
-                let horizon = RENT_HORIZON.as_secs_f64().max(spec.estimate_s);
-                let wanted = over / (spec.need.cpus.max(0.01) * horizon);
-                tasks = waiting.min(wanted.ceil() as u32);
+                let share = spec.need.share_of(&finite);
+                if share.is_finite() {
+                    let work = share * spec.estimate_s.max(1.0) * f64::from(waiting);
+                    // What is cleared while a new machine boots needs no machine.
+                    let over = (ahead + work - RENT_HORIZON.as_secs_f64()).max(0.0);
+                    ahead += work;
+                    let horizon = RENT_HORIZON.as_secs_f64().max(spec.estimate_s);
+                    let wanted = over / (share.max(1e-9) * horizon);
+                    tasks = waiting.min(wanted.ceil() as u32);
+                }
             }
             // A machine for what the team may not run, or has no seats for, would stand
             // idle.
@@ -158,19 +190,23 @@
         left
     }
 
-    /// The cheapest way to hold that many tasks, where the cloud has not refused it.
-    fn choose_rental(&self, spec: &JobSpec, tasks: u32) -> Option<Rental> {
-        let mut in_zone: HashMap<&str, usize> = HashMap::new();
-        for machine in self.machines.values() {
-            *in_zone.entry(&machine.zone).or_insert(0) += 1;
-        }
-        let mut best: Option<(f64, Rental)> = None;
+    /// The cheapest way to hold the tasks, where the cloud has not refused it: the kind of
+    /// machine, and how many. `there` tells how many tasks a zone has room for already.
+    fn choose_rental(
+        &self,
+        demand: &Demand,
+        there: impl Fn(&str) -> u32,
+        in_zone: &HashMap<Arc<str>, usize>,
+    ) -> Option<(Kind3, u32)> {
+        let spec = &demand.spec;
+        let mut best: Option<(f64, Kind3, u32)> = None;
         for t in self.types.iter().filter(|t| spec.allows_type(&t.name)) {
             let slots = spec.need.times_in(&t.size);
             if slots == 0 {
                 continue;
             }
             for zone in &t.zones {
+                let tasks = demand.tasks.saturating_sub(there(zone)).max(1);
                 for spot in [true, false] {
                     let kind = (t.name.clone(), zone.clone(), spot);
                     if !spec.allows_place(zone, spot)
@@ -179,30 +215,43 @@
                     {
                         continue;
                     }
-                    let count = tasks.div_ceil(slots).min(RENT_MOST);
+                    // A gang is of use only whole.
+                    let most = match spec.one_zone {
+                        true => u32::MAX,
+                        false => RENT_MOST,
+                    };
+                    let count = tasks.div_ceil(slots).min(most);
                     let price = if spot { t.spot_price } else { t.price };
-                    let cost = price * f64::from(count) / f64::from(tasks.min(slots * count))
-                        * (1.0 + t.boot_s / 60.0)
-                        + 1e-4 * *in_zone.get(&**zone).unwrap_or(&0) as f64;
-                    if best.as_ref().is_none_or(|(c, _)| cost < *c) {
-                        let rental = Rental {
-                            request: String::new(),
-                            machine_type: t.name.clone(),
-                            zone: zone.clone(),
-                            spot,
-                            count,
-                        };
-                        best = Some((cost, rental));
+                    let held = match spec.one_zone {
+                        true => demand.tasks,
+                        false => tasks.min(slots * count),
+                    };
+                    let cost = price * f64::from(count) / f64::from(held) * (1.0 + t.boot_s / 60.0)
+                        + 1e-4 * *in_zone.get(zone).unwrap_or(&0) as f64;
+                    if best.as_ref().is_none_or(|(c, ..)| cost < *c) {
+                        best = Some((cost, kind, count));
                     }
                 }
             }
         }
-        best.map(|(_, rental)| rental)
+        best.map(|(_, kind, count)| (kind, count))
     }
 }
 
-/// Machines that one request asks for. With few of them calls are what a rush waits
-/// for, with many all of a job's machines would stand in one zone.
+/// A zone where all of a job's tasks find room.
+fn whole_in(spec: &JobSpec, tasks: u32, ahead: &Ahead, idle: &Ahead) -> Option<Arc<str>> {
+    let zones = ahead.zones().chain(idle.zones());
+    let whole = |zone: &&Arc<str>| {
+        let zone = Some(&***zone);
+        idle.takes(spec, zone) + ahead.takes(spec, zone) >= tasks
+    };
+    zones.min_by_key(|zone| !whole(zone)).filter(whole).cloned()
+}
+
+/// Machines of one zone that a job's tasks ask for at a time: more would put all of them
+/// there.
 const RENT_MOST: u32 = 16;
+/// Machines that one call may ask for, by the protocol.
+const CALL_MOST: u32 = 50;
 /// Waiting work that the machines do within this time needs no new ones.
 const RENT_HORIZON: Duration = Duration::from_secs(20);
--- /dev/null
+++ b/src/core/rent/ahead.rs
@@ -0,0 +1,172 @@
+//! Rooms that are about to be there, those that are alike counted together: what a plan
+//! of rentals fills first, and adds to with each machine that it asks for.
+
+use std::sync::Arc;
+
+use crate::core::{
+    fleet::Kind3,
+    job::{JobSpec, Resources},
+};
+
+struct Alike {
+    kind: Kind3,
+    free: Resources,
+    count: u32,
+}
+
+impl Alike {
+    /// How many tasks of the job each of them takes.
+    fn slots(&self, spec: &JobSpec, zone: Option<&str>) -> u32 {
+        let (machine_type, in_zone, spot) = &self.kind;
+        let may = zone.is_none_or(|zone| zone == &**in_zone)
+            && spec.allows_type(machine_type)
+            && spec.allows_place(in_zone, *spot);
+        match may {
+            true => spec.need.times_in(&self.free),
+            false => 0,
+        }
+    }
+}
+
+#[derive(Default)]
+pub struct Ahead(Vec<Alike>);
+
+impl Ahead {
+    pub fn add(&mut self, kind: &Kind3, free: Resources, count: u32) {
+        if count == 0 {
+            return;
+        }
+        let same = |a: &&mut Alike| a.free == free && a.kind == *kind;
+        match self.0.iter_mut().find(same) {
+            Some(alike) => alike.count += count,
+            None => self.0.push(Alike {
+                kind: kind.clone(),
+                free,
+                count,
+            }),
+        }
+    }
+
+    pub fn zones(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.0.iter().map(|alike| &alike.kind.1)
+    }
+
+    /// Tasks of the job that find room, in one zone where one is named.
+    pub fn takes(&self, spec: &JobSpec, zone: Option<&str>) -> u32 {
+        let takes = |a: &Alike| a.slots(spec, zone).saturating_mul(a.count);
+        self.0.iter().map(takes).fold(0, u32::saturating_add)
+    }
+
+    /// Takes in up to that many tasks, and says how many are left.
+    pub fn fill(&mut self, spec: &JobSpec, zone: Option<&str>, mut tasks: u32) -> u32 {
+        let mut changed: Vec<Alike> = Vec::new();
+        for alike in &mut self.0 {
+            let slots = alike.slots(spec, zone);
+            if tasks == 0 || slots == 0 {
+                continue;
+            }
+            let full = (tasks / slots).min(alike.count);
+            let rest = match full < alike.count {
+                true => tasks % slots,
+                false => 0,
+            };
+            for (each, count) in [(slots, full), (rest, u32::from(rest > 0))] {
+                changed.push(Alike {
+                    kind: alike.kind.clone(),
+                    free: alike.free.plus_times(&spec.need, -f64::from(each)),
+                    count,
+                });
+                alike.count -= count;
+                tasks -= each * count;
+            }
+        }
+        self.0.retain(|alike| alike.count > 0);
+        for alike in changed {
+            self.add(&alike.kind, alike.free, alike.count);
+        }
+        tasks
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::collections::BTreeMap;
+
+    use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+    use super::*;
+    use crate::core::job::{JobId, Kind, Priority};
+
+    fn spec(cpus: f64, gpus: f64, spot: bool) -> JobSpec {
+        JobSpec {
+            id: JobId::parse("run-1").expect("an id"),
+            class: Arc::from("work"),
+            team: Arc::from("red"),
+            kind: Kind::Array,
+            priority: Priority::Normal,
+            tasks: 1,
+            need: Resources {
+                cpus,
+                gpus,
+                memory_gb: 1.0,
+            },
+            image: Arc::from("img"),
+            image_gb: 1.0,
+            types: None,
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot,
+            estimate_s: 1.0,
+            checkpoint_s: 0.0,
+            save_s: 0.0,
+            deadline_s: None,
+            licences: BTreeMap::new(),
+        }
+    }
+
+    /// Rooms counted together take what a list of single ones takes.
+    #[test]
+    fn rooms_counted_together_take_what_single_ones_take() {
+        let mut rng = StdRng::seed_from_u64(11);
+        for _ in 0..300 {
+            let (mut ahead, mut plain) = (Ahead::default(), Vec::new());
+            for _ in 0..rng.random_range(1..6) {
+                let zone = ["a", "b"][rng.random_range(0..2)];
+                let kind: Kind3 = (Arc::from("m"), Arc::from(zone), rng.random_bool(0.5));
+                let free = Resources {
+                    cpus: f64::from(rng.random_range(1..20u32)),
+                    gpus: f64::from(rng.random_range(0..9u32)),
+                    memory_gb: 50.0,
+                };
+                let count = rng.random_range(0..4u32);
+                ahead.add(&kind, free, count);
+                plain.extend((0..count).map(|_| (kind.clone(), free)));
+            }
+            for _ in 0..4 {
+                let cpus = f64::from(rng.random_range(1..7u32));
+                let gpus = f64::from(rng.random_range(0..3u32));
+                let spec = spec(cpus, gpus, rng.random_bool(0.5));
+                let zone = [None, Some("a"), Some("b")][rng.random_range(0..3)];
+                let asked = rng.random_range(0..12);
+                let may = |kind: &Kind3| {
+                    zone.is_none_or(|zone| zone == &*kind.1) && (spec.spot || !kind.2)
+                };
+                let takes: u32 = plain
+                    .iter()
+                    .filter(|(kind, _)| may(kind))
+                    .map(|(_, free)| spec.need.times_in(free))
+                    .sum();
+                assert_eq!(ahead.takes(&spec, zone), takes);
+                let left = ahead.fill(&spec, zone, asked);
+                assert_eq!(left, asked.saturating_sub(takes));
+                // Which of them were filled is open; go on from what is left.
+                plain.clear();
+                for alike in &ahead.0 {
+                    let one = (alike.kind.clone(), alike.free);
+                    plain.extend((0..alike.count).map(|_| one.clone()));
+                }
+            }
+        }
+    }
+}
--- a/src/core/sched.rs
+++ b/src/core/sched.rs
@@ -427,8 +427,8 @@
             _ if machine.spot => 0.0,
             _ => 0.5 * (1.0 - keep),
         };
-        // Full machines first, so that empty ones can be returned.
-        Some(cost + room.free.cpus / machine.size.cpus.max(1e-9))
+        // Full machines first, so that empty ones can be returned, and stay whole.
+        Some(cost + 1.0 - machine.size.minus(&room.free).share_of(&machine.size))
     }
 
     /// What it costs to keep a machine, as a share of the dearest.
