Refused nodes learn who leads from the others; taken machines are proven gone by the list

(2) A machine taken without notice was known to be gone after its worker's lease, 42 s, though the cloud's list had not shown it for half a minute. (3) Arrays asked for machines only beyond 20 s of backlog, where their aim leaves no time at all.

Change: claims that nodes tell in their pulses count where the state service does not answer; a silent machine that the list showed, and does not show by more than its lag, is returned, whose answer proves it empty as ever; patience for a backlog is what the class's aim leaves after a boot and a fetch.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -67,6 +67,9 @@
     rented: u64,
     open: Vec<Open>,
     listing: Option<Vec<ListedMachine>>,
+    /// When the last list that was read whole was asked for.
+    pub(super) list_read: Option<Duration>,
+    list_asked: Duration,
     next_list: Duration,
     next_types: Duration,
     next_plan: Duration,
@@ -90,6 +93,8 @@
             rented: 0,
             open: Vec::new(),
             listing: None,
+            list_read: None,
+            list_asked: Duration::ZERO,
             next_list: Duration::ZERO,
             next_types: Duration::ZERO,
             next_plan: Duration::ZERO,
@@ -218,6 +223,7 @@
         if now >= self.fleet.next_list {
             self.fleet.next_list = now + self.config.list_lag.max(Duration::from_secs(4));
             self.fleet.listing = Some(Vec::new());
+            self.fleet.list_asked = now;
             return Some(CloudRequest::List {
                 after: String::new(),
             });
@@ -261,6 +267,7 @@
                     return Some(CloudRequest::List { after });
                 }
                 let listing = self.fleet.listing.take().unwrap_or_default();
+                self.fleet.list_read = Some(self.fleet.list_asked);
                 self.compare_list(&listing, now);
                 self.squares_list(now);
             }
--- a/src/core/flow.rs
+++ b/src/core/flow.rs
@@ -9,6 +9,8 @@
 
 use std::time::Duration;
 
+use tracing::debug;
+
 use super::{
     job::Priority,
     leader::Leader,
@@ -65,6 +67,8 @@
     /// Sent, in no report yet.
     pub unconfirmed: usize,
     pub fetching: usize,
+    /// Tasks of gangs that wait for the others.
+    pub gathering: usize,
     /// Told to stop, and not gone.
     pub stopping: usize,
     /// Over, with a result that is not stored. These hold no room.
@@ -87,6 +91,7 @@
                     Phase::Decided => holding.unsent += 1,
                     Phase::Sent { .. } => holding.unconfirmed += 1,
                     Phase::Seen(TaskPhase::Fetching) => holding.fetching += 1,
+                    Phase::Seen(TaskPhase::Waiting) => holding.gathering += 1,
                     Phase::Seen(_) => {}
                 }
             }
@@ -95,6 +100,31 @@
         holding
     }
 
+    /// What the machines are used for, for the log: in whole machines, by what binds.
+    pub(super) fn log_use(&self) {
+        let mut used = [[0.0; 2]; 3];
+        let (mut idle, mut all) = ([0; 2], [0; 2]);
+        for machine in self.machines.values() {
+            if machine.standing != Standing::Up {
+                continue;
+            }
+            let spot = usize::from(machine.spot);
+            all[spot] += 1;
+            idle[spot] += usize::from(!machine.busy());
+            for p in machine.tasks.values().filter(|p| !p.exited()) {
+                let kind = p.spec.as_ref().map_or(0, |spec| spec.kind as usize);
+                used[kind][spot] += p.need.share_of(&machine.size);
+            }
+        }
+        let [arrays, gangs, services] = used.map(|[ordinary, _]| ordinary.round());
+        let [spot_arrays, ..] = used.map(|[_, spot]| spot.round());
+        let ([ordinary, spot], [idle, idle_spot]) = (all, idle);
+        debug!(
+            ordinary,
+            arrays, gangs, services, idle, spot, spot_arrays, idle_spot, "use"
+        );
+    }
+
     /// The highest priority that nothing more is let in of, if any: more of it, and of
     /// what is above it, has waited for a whole span than started in one.
     pub(super) fn held_up(&mut self, now: Duration) -> Option<Priority> {
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -808,14 +808,9 @@
             return;
         }
         self.next_log = now + Duration::from_secs(5);
-        let up: Vec<&Machine> = self
-            .machines
-            .values()
-            .filter(|m| m.standing == Standing::Up)
-            .collect();
-        let booting = self.machines.len() - up.len();
-        let cpus: f64 = up.iter().map(|m| m.size.cpus).sum();
-        let free: f64 = up.iter().map(|m| m.free().cpus).sum();
+        let standing = |m: &&Machine| m.standing == Standing::Up;
+        let up = self.machines.values().filter(standing).count();
+        let booting = self.machines.len() - up;
         let waiting: u32 = self.jobs.values().map(|j| j.waiting_count()).sum();
         let Counts {
             starts,
@@ -825,10 +820,8 @@
             lost,
         } = self.counts;
         debug!(
-            up = up.len(),
+            up,
             booting,
-            cpus,
-            free,
             jobs = self.jobs.len(),
             waiting,
             starts,
@@ -838,12 +831,14 @@
             lost,
             "counts"
         );
+        self.log_use();
         let holding = self.holding();
         debug!(
             unlisted = holding.unlisted,
             unsent = holding.unsent,
             unconfirmed = holding.unconfirmed,
             fetching = holding.fetching,
+            gathering = holding.gathering,
             stopping = holding.stopping,
             unstored = holding.unstored,
             nominated = holding.nominated,
--- a/src/core/members/nodes.rs
+++ b/src/core/members/nodes.rs
@@ -49,6 +49,8 @@
     others: BTreeMap<String, Other>,
     /// The leader's claim, and when it was heard of last.
     leader: (u64, Duration),
+    /// The newest claim that another node told to hold, and which node.
+    claimed: Option<(String, u64)>,
     /// Since when it is known to lead.
     leader_since: Duration,
     /// The gaps between its pulses.
@@ -88,6 +90,7 @@
         Self {
             others: BTreeMap::new(),
             leader: (0, Duration::ZERO),
+            claimed: None,
             leader_since: Duration::ZERO,
             gaps: Accrual::new(Source::One),
             leader_hears: 0,
@@ -144,6 +147,20 @@
         now.saturating_sub(self.leader.1)
     }
 
+    /// A node that leads was heard by itself just now.
+    pub fn claims(&mut self, from: &str, pulse: &Pulse) {
+        let newer = |known: &(String, u64)| pulse.claim > known.1;
+        if pulse.heard.is_zero() && self.claimed.as_ref().is_none_or(newer) {
+            self.claimed = Some((from.to_owned(), pulse.claim));
+        }
+    }
+
+    /// The node that leads by what nodes told, if its claim is newer than this one.
+    pub fn claimed_after(&self, claim: u64) -> Option<(&str, u64)> {
+        let (node, claimed) = self.claimed.as_ref()?;
+        (*claimed > claim).then_some((node, *claimed))
+    }
+
     pub fn pulse(&mut self, from: String, pulse: Pulse, leads: bool, now: Duration) {
         if leads {
             self.leader = (pulse.claim, now);
--- a/src/core/pulse.rs
+++ b/src/core/pulse.rs
@@ -84,23 +84,32 @@
 
     /// Another node that hears the leader, when this one does not.
     pub(super) fn hearer(&self) -> Option<String> {
-        let (record, version) = self.mirror.leader.as_ref()?;
+        let (leader, claim) = self.known_leader()?;
+        self.members.nodes.hearer(leader, claim, self.now())
+    }
+
+    /// Who leads, and under which claim: by what is stored, or, while the state service
+    /// does not answer this node, by what the other nodes say. A node that did not know
+    /// left workers that only it reaches without an answer until their leases ended.
+    pub(super) fn known_leader(&self) -> Option<(&str, u64)> {
+        let stored = self.mirror.leader.as_ref();
+        let stored = stored.map(|(record, version)| (&*record.node, *version));
         let nodes = &self.members.nodes;
-        nodes.hearer(&record.node, *version, self.now())
+        let unread = nodes.state_silence(self.now()) > REFUSED && !self.leads();
+        let told = nodes.claimed_after(stored.map_or(0, |(_, claim)| claim));
+        told.filter(|_| unread).or(stored)
     }
 
     /// Another node that is heard and is not the leader.
     pub(super) fn other_alive(&self) -> Option<String> {
-        let leader = self.mirror.leader.as_ref();
-        let leader = leader.map(|(record, _)| &*record.node);
+        let leader = self.known_leader().map(|(node, _)| node);
         self.members.nodes.alive_beside(leader, self.now())
     }
 
     pub(super) fn pump_pulses(&mut self) {
         let now = self.now();
         self.members.sight.tick(now);
-        let leader = self.mirror.leader.as_ref();
-        let claim = leader.map_or(0, |(_, version)| *version);
+        let claim = self.known_leader().map_or(0, |(_, claim)| claim);
         let own = self.leads();
         self.members.nodes.leader_is(claim, own, now);
         if now < self.pulses.next {
@@ -110,7 +119,11 @@
         let nodes = &self.members.nodes;
         let pulse = Pulse {
             claim,
-            heard: nodes.leader_silence(now),
+            // Only the leader itself says that it was heard this very moment.
+            heard: match own {
+                true => Duration::ZERO,
+                false => nodes.leader_silence(now).max(Duration::from_millis(1)),
+            },
             state: nodes.state_silence(now),
             hears: self.members.sight.hears(),
             told: self.told(),
@@ -134,10 +147,8 @@
 
     pub(super) fn pulse(&mut self, from: String, pulse: Pulse) {
         let now = self.now();
-        let leader = self.mirror.leader.as_ref();
-        let leads = leader.is_some_and(|(record, version)| {
-            record.node == from && *version == pulse.claim && pulse.heard.is_zero()
-        });
+        self.members.nodes.claims(&from, &pulse);
+        let leads = pulse.heard.is_zero() && self.known_leader() == Some((&from, pulse.claim));
         let served = self.members.nodes.state_silence(now) < super::members::nodes::REACHES;
         if leads && pulse.state > REFUSED && served {
             let claim = pulse.claim;
--- a/src/core/relay.rs
+++ b/src/core/relay.rs
@@ -222,8 +222,8 @@
 
     /// Another node that leads, and its claim.
     fn other_leader(&self) -> Option<(String, u64)> {
-        let (record, version) = self.mirror.leader.as_ref()?;
-        (record.node != self.config.node).then(|| (record.node.clone(), *version))
+        let (node, claim) = self.known_leader()?;
+        (node != self.config.node).then(|| (node.to_owned(), claim))
     }
 
     /// No leader is heard here. Sent on, a worker would spend the rest of its lease
--- a/src/core/rent.rs
+++ b/src/core/rent.rs
@@ -141,7 +141,7 @@
                 if share.is_finite() {
                     let work = share * spec.estimate_s.max(1.0) * f64::from(waiting);
                     // What is cleared while a new machine boots needs no machine.
-                    let over = (ahead + work - RENT_HORIZON.as_secs_f64()).max(0.0);
+                    let over = (ahead + work - self.patience(spec)).max(0.0);
                     ahead += work;
                     let horizon = RENT_HORIZON.as_secs_f64().max(spec.estimate_s);
                     let wanted = over / (share.max(1e-9) * horizon);
@@ -165,6 +165,19 @@
         demands
     }
 
+    /// For how long, in seconds, the machines that are up may go on clearing an array's
+    /// tasks before more are asked for. Where its tasks are to start sooner than a new
+    /// machine has booted and fetched the image, every moment counts.
+    fn patience(&self, spec: &JobSpec) -> f64 {
+        let boots = self.types.iter().filter(|t| spec.allows_type(&t.name));
+        let boot = boots.map(|t| t.boot_s).fold(f64::INFINITY, f64::min);
+        let aims = self.config.objectives.iter();
+        let aims = aims.filter(|o| o.kind == "wait" && *o.class == *spec.class);
+        let tightest = aims.map(|o| o.within_s).fold(f64::INFINITY, f64::min);
+        let left = tightest - boot - self.fetch_alone(spec);
+        left.clamp(0.0, RENT_HORIZON.as_secs_f64())
+    }
+
     /// What teams with a limit may still run.
     fn limits_left(&self) -> HashMap<Arc<str>, Resources> {
         let most = |limit: f64| if limit > 0.0 { limit } else { f64::INFINITY };
--- a/src/core/silent.rs
+++ b/src/core/silent.rs
@@ -1,5 +1,5 @@
-//! Machines that fall silent with replicas on them: proving them empty by
-//! returning them, before the worker's lease is over.
+//! Machines that fall silent with replicas on them, or are gone from the cloud's list:
+//! proving them empty by returning them, before the worker's lease is over.
 //!
 //! A machine that hangs takes its replicas with it, and they may start elsewhere
 //! only when its lease is over or it is gone. Once the cloud has confirmed its
@@ -18,6 +18,8 @@
 
 /// Machines that one request returns at most.
 const RETURNED_MOST: usize = 100;
+/// A report that is later than this after its time is missed.
+const REPORT_LATE: Duration = Duration::from_secs(1);
 
 impl Machine {
     /// How many tasks run here that have to run all the time.
@@ -42,6 +44,17 @@
         machine.unheard(self.config.report * 3 / 2, now) && !machine.mute && machine.serves() > 0
     }
 
+    /// The machine is silent, and the cloud's list, which showed it, does not any more: it
+    /// was taken back. That needs no doubt about the way there. A list may be older than
+    /// the one before by as much as it lags, so it must be newer than that.
+    fn vanished(&self, machine: &Machine, now: Duration) -> bool {
+        let lag = self.config.list_lag * 2;
+        let since = machine.heard_at.unwrap_or(machine.first_seen);
+        let missed = now > since + self.config.report * 5 / 4 + REPORT_LATE;
+        let (shown, read) = (machine.listed_at, self.fleet.list_read);
+        missed && shown.zip(read).is_some_and(|(at, read)| read > at + lag)
+    }
+
     /// Machines to be returned, as a proof that nothing runs there any more: those
     /// with the most replicas first.
     pub(super) fn plan_reclaims(&mut self, now: Duration) -> Vec<MachineId> {
@@ -53,16 +66,17 @@
         let mut go: Vec<(Reverse<usize>, MachineId)> = self
             .machines
             .values()
-            .filter(|m| m.unheard(silence, now) && m.mute)
-            .filter(|m| self.outlook.clear.contains(&m.zone))
+            .filter(|m| {
+                let mute = m.unheard(silence, now) && m.mute && m.serves() > 0;
+                mute && self.outlook.clear.contains(&m.zone) || self.vanished(m, now)
+            })
             .map(|m| (Reverse(m.serves()), m.id.clone()))
-            .filter(|(serves, _)| serves.0 > 0)
             .filter(|(_, id)| !self.fleet.returns(id))
             .collect();
         go.sort();
         go.truncate(RETURNED_MOST);
         for (_, machine) in &go {
-            info!(%machine, "silent with replicas: returned to prove it empty");
+            info!(%machine, "silent: returned to prove it empty");
         }
         go.into_iter().map(|(_, id)| id).collect()
     }
