Gangs gather room in a pass; arrays leave dear machines; replicas move within their zone

(2) Arrays that may use cheap machines ran on up to 187 ordinary ones. (4) A gang incomplete after gang_wait had its fetches stopped, to begin anew.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -56,6 +56,10 @@
         value_name = "TASKS"
     )]
     pub disruption_budget: u32,
+
+    /// Seconds after which a gang that waits keeps what room there is from its equals
+    #[arg(long, env = "KITEYARD_GATHER_AFTER_S", default_value_t = 60.0, value_name = "SECONDS", value_parser = seconds)]
+    pub gather_after_s: f64,
 }
 
 fn times(text: &str) -> Result<f64, String> {
@@ -114,6 +118,7 @@
             idle_boots: self.idle_boots,
             grace: settings::seconds(self.grace_s),
             disruption_budget: self.disruption_budget,
+            gather_after: settings::seconds(self.gather_after_s),
         }
     }
 }
--- a/src/core/config.rs
+++ b/src/core/config.rs
@@ -28,6 +28,8 @@
     pub idle_boots: f64,
     pub grace: Duration,
     pub disruption_budget: u32,
+    /// A gang that has waited for so long keeps what room there is for it from its equals.
+    pub gather_after: Duration,
     /// Licences with counted seats, if there are any.
     pub licences: Option<Arc<kiteyard_licences::config::Config>>,
     /// How changes of the stored state are rolled out, if they are.
@@ -44,6 +46,7 @@
             idle_boots: 2.0,
             grace: Duration::from_secs(10),
             disruption_budget: 1,
+            gather_after: Duration::from_secs(60),
             licences: None,
             rollout: None,
             maintenance: None,
--- a/src/core/drain.rs
+++ b/src/core/drain.rs
@@ -92,7 +92,8 @@
         machine.tasks.values().filter(|p| !p.exited()).all(|p| {
             let Some(spec) = &p.spec else { return false };
             let room = rooms.iter_mut().find(|(m, free)| {
-                !(spec.one_zone || spec.spread)
+                // Within its zone a replica breaks no rule of where the others are.
+                (m.zone == machine.zone || !(spec.one_zone || spec.spread))
                     && spec.allows_type(&m.machine_type)
                     && spec.allows_place(&m.zone, m.spot)
                     && m.has_image(&spec.image)
--- a/src/core/failures.rs
+++ b/src/core/failures.rs
@@ -6,12 +6,12 @@
 
 use std::time::Duration;
 
-use tracing::info;
+use tracing::{debug, info};
 
 use super::{
     job::{JobId, Kind, TaskId},
     leader::{Job, Leader},
-    machine::{MachineId, Why},
+    machine::{MachineId, Phase, Placement, Stop, TaskPhase, Why},
 };
 
 /// A job that failed on so many machines, and nowhere else was done, is at fault.
@@ -90,7 +90,46 @@
         }
         if job.spec.kind == Kind::Gang {
             let id = task.job.clone();
-            self.break_gang(&id, Duration::ZERO, now);
+            debug!(job = %id, ?why, "gang broken");
+            match why {
+                Some(Why::Incomplete) => self.gather_again(&id, now),
+                _ => self.break_gang(&id, Duration::ZERO, now),
+            }
+        }
+    }
+
+    /// A gang was not complete in time, mostly because some of its tasks fetched an image
+    /// that others had. Those that fetch go on until they have it: stopped, they would
+    /// begin anew with the next attempt, and be as late again and again.
+    fn gather_again(&mut self, id: &JobId, now: Duration) {
+        let fetching = |p: &Placement| {
+            matches!(
+                p.phase,
+                Phase::Sent { .. } | Phase::Seen(TaskPhase::Fetching)
+            )
+        };
+        let fetching = self
+            .machines
+            .values()
+            .flat_map(|m| m.tasks.iter())
+            .any(|((task, _), p)| task.job == *id && p.stop.is_none() && fetching(p));
+        if let (Some(job), true) = (self.jobs.get_mut(id), fetching) {
+            job.gathers = true;
+        } else {
+            self.break_gang(id, Duration::ZERO, now);
+        }
+    }
+
+    /// Stops a task of a gang that is not complete any more, now that it has the image.
+    pub(super) fn has_gathered(&mut self, id: &MachineId, key: &(TaskId, u64), now: Duration) {
+        let Some(job) = self.jobs.get(&key.0.job) else {
+            return;
+        };
+        if !job.gathers || job.placed >= job.spec.tasks {
+            return;
+        }
+        if let Some(placement) = self.machines.get_mut(id).and_then(|m| m.tasks.get_mut(key)) {
+            placement.stop.get_or_insert(Stop::new(Duration::ZERO, now));
         }
     }
 
--- a/src/core/job.rs
+++ b/src/core/job.rs
@@ -137,6 +137,11 @@
 impl Priority {
     /// Every priority, the lowest first.
     pub const ALL: [Self; 4] = [Self::Low, Self::Normal, Self::High, Self::Production];
+
+    /// The next lower one.
+    pub fn below(self) -> Option<Self> {
+        Self::ALL.get((self as usize).checked_sub(1)?).copied()
+    }
 }
 
 /// What a user is told about a job.
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -68,6 +68,8 @@
     pub retry_at: Duration,
     /// Since when it found no room with its image, see `near`.
     pub(super) passed_over: Option<Duration>,
+    /// A gang whose last attempt was not complete in time, while images still arrive.
+    pub(super) gathers: bool,
     /// Machines held for waiting tasks, one entry a task.
     pub nominations: Vec<MachineId>,
 }
@@ -104,6 +106,7 @@
             probes: 0,
             retry_at: Duration::ZERO,
             passed_over: None,
+            gathers: false,
             nominations: Vec::new(),
             spec,
         }
@@ -582,6 +585,9 @@
         if has_image && let Some(spec) = &placement.spec {
             self.image_seen(id, spec, now);
         }
+        if phase == TaskPhase::Waiting {
+            self.has_gathered(id, &key, now);
+        }
         let ran = matches!(before, Phase::Seen(TaskPhase::Running));
         if !placement.foreign
             && let Some(job) = self.jobs.get_mut(&key.0.job)
--- a/src/core/queue.rs
+++ b/src/core/queue.rs
@@ -8,6 +8,7 @@
 };
 
 use super::{
+    Node,
     job::{JobId, Priority},
     leader::Job,
 };
@@ -76,6 +77,10 @@
         self.parked.remove(id);
     }
 
+    fn holds(&self, id: &JobId) -> bool {
+        self.queued.contains(id) || self.parked.contains(id)
+    }
+
     pub fn unpark(&mut self, jobs: &BTreeMap<JobId, Job>) {
         for id in std::mem::take(&mut self.parked) {
             if let Some(job) = jobs.get(&id) {
@@ -84,3 +89,13 @@
         }
     }
 }
+
+impl Node {
+    /// A job with waiting tasks that neither the heap nor the list holds: nothing would
+    /// ever look at it again. There is none.
+    pub fn lost_job(&self) -> Option<JobId> {
+        let leader = self.leader.as_ref()?;
+        let waits = |(id, job): &(&JobId, &Job)| job.waiting_count() > 0 && !leader.queue.holds(id);
+        leader.jobs.iter().find(waits).map(|(id, _)| id.clone())
+    }
+}
--- a/src/core/sched.rs
+++ b/src/core/sched.rs
@@ -1,5 +1,7 @@
 //! Placement: fits without victims first, then preemption and nominations.
 
+mod gangs;
+
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, HashMap},
@@ -13,7 +15,7 @@
 
 use super::{
     job::{JobId, JobSpec, Kind, Priority, Resources, TaskId},
-    leader::{Leader, Slot},
+    leader::Leader,
     machine::{Machine, MachineId, Placement, Standing},
     room::{Hopeless, Room, Usage, View, listed_by_silent},
     squaring::Order,
@@ -417,7 +419,7 @@
         }
         // What may be taken back is left to those who may use it.
         if spec.spot && !machine.spot {
-            cost += 1.0;
+            cost += self.dearer(machine) * spec.estimate_s;
         }
         // Work without an end keeps its machine: on a dear one it would keep much
         // that is not needed. Finite work leaves the cheap ones to it.
@@ -431,6 +433,12 @@
         Some(cost + 1.0 - machine.size.minus(&room.free).share_of(&machine.size))
     }
 
+    /// What a machine costs more than one of its kind that may be taken back, as a share.
+    fn dearer(&self, machine: &Machine) -> f64 {
+        let price = |spot| self.price(&machine.machine_type, spot);
+        (1.0 - price(true) / price(false).max(1e-9)).max(0.0)
+    }
+
     /// What it costs to keep a machine, as a share of the dearest.
     fn keeping(&self, machine: &Machine) -> f64 {
         let dearest = self.types.iter().map(|t| t.price).fold(0.0, f64::max);
@@ -694,10 +702,11 @@
                 free = free.minus(&need);
                 continue;
             }
-            if let Some(entry) = self.jobs.get_mut(&job) {
-                if let Some(at) = entry.nominations.iter().position(|m| *m == machine.id) {
-                    entry.nominations.remove(at);
-                }
+            if let Some(entry) = self.jobs.get_mut(&job)
+                // What is only being gathered in this pass is no nomination.
+                && let Some(at) = entry.nominations.iter().position(|m| *m == machine.id)
+            {
+                entry.nominations.remove(at);
                 info!(job = %job, machine = %machine.id, "nomination cleared");
                 self.counts.cleared += 1;
                 self.queue.push(&job, entry);
@@ -705,142 +714,6 @@
             }
         }
     }
-
-    /// A gang starts whole, once nothing of its last attempt is left anywhere.
-    fn place_gang(
-        &mut self,
-        view: &mut View,
-        id: &JobId,
-        spec: &Arc<JobSpec>,
-        now: Duration,
-    ) -> bool {
-        if self.jobs[id].placed > 0 || self.over_limit(view, spec, spec.tasks, now) {
-            return false;
-        }
-        let lingering = self.machines.values().any(|m| {
-            m.tasks
-                .iter()
-                .any(|((task, _), p)| task.job == *id && !p.exited())
-        });
-        if lingering {
-            return false;
-        }
-        let tasks: Vec<u32> = (0..spec.tasks)
-            .filter(|i| self.jobs[id].slots[*i as usize] == Slot::Waiting)
-            .collect();
-        for zones in self.gang_zones(spec) {
-            if let Some(rooms) = self.fit_gang(view, spec, &tasks, &zones, now) {
-                self.jobs
-                    .get_mut(id)
-                    .expect("job at hand")
-                    .nominations
-                    .clear();
-                self.refresh_held(view, id);
-                let attempt = self.next_attempt();
-                for (index, room) in tasks.iter().zip(rooms) {
-                    let machine = view.rooms[room].id.clone();
-                    let task = TaskId {
-                        job: id.clone(),
-                        index: *index,
-                    };
-                    self.put(view, room, &machine, task, attempt, now);
-                }
-                return true;
-            }
-        }
-        self.drop_spent(view, id);
-        if self.jobs[id].nominations.is_empty() && !self.room_may_come(spec, Order::Preempt) {
-            self.make_room_for_gang(view, id, spec, &tasks, now);
-        }
-        false
-    }
-
-    /// The zones to try, each alone where the gang must stay in one.
-    fn gang_zones(&self, spec: &JobSpec) -> Vec<Vec<Arc<str>>> {
-        let mut zones: Vec<Arc<str>> = self.machines.values().map(|m| m.zone.clone()).collect();
-        zones.sort();
-        zones.dedup();
-        match spec.one_zone {
-            true => zones.into_iter().map(|z| vec![z]).collect(),
-            false => vec![zones],
-        }
-    }
-
-    /// Rooms for every task of a gang, tried on the view and put back.
-    fn fit_gang(
-        &self,
-        view: &mut View,
-        spec: &JobSpec,
-        tasks: &[u32],
-        zones: &[Arc<str>],
-        now: Duration,
-    ) -> Option<Vec<usize>> {
-        let before: Vec<Resources> = view.rooms.iter().map(|r| r.free).collect();
-        let zones_before = view.zones.clone();
-        let mut chosen = Vec::new();
-        for room in &mut view.rooms {
-            if !zones.contains(&room.zone) {
-                room.free = Resources::default().minus(&spec.need);
-            }
-        }
-        for _ in tasks {
-            let Some(i) = self.best_fit(view, spec, now) else {
-                break;
-            };
-            view.rooms[i].free = view.rooms[i].free.minus(&spec.need);
-            let zone = view.rooms[i].zone.clone();
-            *view.zones.entry(zone).or_insert(0) += 1;
-            chosen.push(i);
-        }
-        for (room, free) in view.rooms.iter_mut().zip(before) {
-            room.free = free;
-        }
-        view.zones = zones_before;
-        (chosen.len() == tasks.len()).then_some(chosen)
-    }
-
-    /// Victims for a whole gang, or none at all.
-    fn make_room_for_gang(
-        &mut self,
-        view: &mut View,
-        id: &JobId,
-        spec: &Arc<JobSpec>,
-        tasks: &[u32],
-        now: Duration,
-    ) {
-        for zones in self.gang_zones(spec) {
-            let before: Vec<Resources> = view.rooms.iter().map(|r| r.free).collect();
-            let zones_before = view.zones.clone();
-            let mut plans = Vec::new();
-            for room in &mut view.rooms {
-                if !zones.contains(&self.machines[&room.id].zone) {
-                    room.free = room.free.plus_times(&self.machines[&room.id].size, -2.0);
-                }
-            }
-            for _ in tasks {
-                let Some(plan) = self.best_plan(view, spec) else {
-                    break;
-                };
-                let room = &mut view.rooms[plan.room];
-                room.free = room.free.plus(&plan.freed).minus(&spec.need);
-                room.victims.extend(plan.victims.iter().cloned());
-                let zone = room.zone.clone();
-                *view.zones.entry(zone).or_insert(0) += 1;
-                plans.push(plan);
-            }
-            for (room, free) in view.rooms.iter_mut().zip(before) {
-                room.free = free;
-                room.victims.clear();
-            }
-            view.zones = zones_before;
-            if plans.len() == tasks.len() {
-                for plan in plans {
-                    self.nominate(view, id, spec, plan, now);
-                }
-                return;
-            }
-        }
-    }
 }
 
 fn zone_allowed(zones: &BTreeMap<Arc<str>, u32>, zone: &Arc<str>, spec: &JobSpec) -> bool {
--- /dev/null
+++ b/tests/world/between.rs
@@ -0,0 +1,124 @@
+//! Troubles between machines: workers that are heard and not reached, copies that come
+//! late, and a node that loses the state service and its peers, not its workers.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use kiteyard::core::{
+    Input,
+    fleet::CloudRequest,
+    machine::WorkerReport,
+    store::{StateReply, StateRequest},
+};
+use rand::RngExt;
+
+use crate::sim::{Event, NODES, Sabotage, World, ms};
+
+#[derive(Default)]
+pub struct Between {
+    /// Nothing reaches these machines until then; what they send arrives.
+    deaf: BTreeMap<String, Duration>,
+    /// Until then a part of all messages comes again.
+    pub copies_until: Duration,
+    /// These nodes and the others hear nothing of one another until then.
+    apart: [Duration; NODES],
+}
+
+impl Between {
+    pub fn deafen(&mut self, names: Vec<String>, until: Duration) {
+        self.deaf
+            .extend(names.into_iter().map(|name| (name, until)));
+    }
+
+    pub fn deaf(&self, name: &str, now: Duration) -> bool {
+        self.deaf.get(name).is_some_and(|until| *until > now)
+    }
+}
+
+impl World {
+    pub fn node_apart(&mut self, node: usize, until: Duration) {
+        self.unreached[node] = until;
+        self.between.apart[node] = until;
+    }
+
+    pub fn loses_peers(&self, from: usize, to: usize) -> bool {
+        let apart = &self.between.apart;
+        apart[from].max(apart[to]) > self.now
+    }
+
+    /// When the copy of a message comes, if there is one: seconds to several leases later.
+    fn copied(&mut self) -> Option<(usize, Duration)> {
+        if self.now >= self.between.copies_until || self.rng.random_range(0..4) > 0 {
+            return None;
+        }
+        let at = self.now + ms(self.rng.random_range(2_000..16_000));
+        Some((self.rng.random_range(0..NODES), at))
+    }
+
+    /// At whatever node and process is there by then; nobody waits for the answer.
+    fn again(&mut self, input: impl FnOnce(u64) -> Input) {
+        if let Some((node, at)) = self.copied() {
+            self.next_request += 1;
+            let input = input(self.next_request);
+            self.push(at, Event::Line(node, input));
+        }
+    }
+
+    pub fn copy_report(&mut self, report: &WorkerReport) {
+        let mut report = report.clone();
+        if self.sabotage == Sabotage::BelievesCopies {
+            report.token = u64::MAX >> 1;
+        }
+        self.again(|request| Input::Report { request, report });
+    }
+
+    pub fn copy_user(&mut self, input: &Input) {
+        match input {
+            Input::Submit { spec, .. } => {
+                let spec = spec.clone();
+                self.again(|request| Input::Submit { request, spec });
+            }
+            Input::Withdraw { id, .. } => {
+                let id = id.clone();
+                self.again(|request| Input::Withdraw { request, id });
+            }
+            _ => {}
+        }
+    }
+
+    /// To the service it is one more request, whose answer finds nobody.
+    pub fn copy_state(&mut self, request: &StateRequest) {
+        if let (StateRequest::Txn { .. }, Some((node, at))) = (request, self.copied()) {
+            self.push(at, Event::AtState(node, 0, 0, request.clone()));
+        }
+    }
+
+    pub fn copy_cloud(&mut self, request: &CloudRequest) {
+        if let Some((node, at)) = self.copied() {
+            self.push(at, Event::AtCloud(node, 0, 0, request.clone()));
+        }
+    }
+
+    /// What an unsafe node takes for the answer while nothing answers it.
+    pub fn pretended(&self, request: &StateRequest) -> Option<StateReply> {
+        if self.sabotage != Sabotage::BelievesRenewals {
+            return None;
+        }
+        match request {
+            StateRequest::Renew { .. } => Some(StateReply::Renewed),
+            StateRequest::Txn { changes, .. } if changes.is_empty() => {
+                Some(StateReply::Committed { revision: 0 })
+            }
+            _ => None,
+        }
+    }
+
+    /// No job has waiting tasks that nothing will ever look at again.
+    pub fn look_for_lost(&mut self) {
+        let nodes = self.nodes.iter().flatten();
+        let lost: Vec<_> = nodes.filter_map(|node| node.lost_job()).collect();
+        for id in lost {
+            self.observer
+                .breaks(self.now, "lost", format!("{id} is in no queue"));
+        }
+    }
+}
--- a/tests/world/cases.rs
+++ b/tests/world/cases.rs
@@ -34,6 +34,14 @@
     AllEnd,
     /// All end, and again while they start: each before its first answer, or soon after it.
     EndAgain,
+    /// A third of the machines report, and nothing reaches them.
+    Deaf,
+    /// Reports come again later, and so do requests that were carried out.
+    Copies,
+    /// The leader loses the state service and its peers, not its workers and users.
+    LeaderApart,
+    /// The same with another node as well: only one is left.
+    TwoApart,
     /// The state service is away.
     Outage,
     /// A node that does not lead is started again from the old build.
@@ -114,6 +122,16 @@
                     }
                 }
             }
+            Case::Deaf => {
+                let names = self.workers.keys().step_by(3).cloned();
+                self.between.deafen(names.collect(), until);
+            }
+            Case::Copies => self.between.copies_until = until,
+            Case::LeaderApart => self.node_apart(leader, until),
+            Case::TwoApart => {
+                self.node_apart(leader, until);
+                self.node_apart((leader + 1) % NODES, until);
+            }
             Case::Outage => {
                 self.outage = true;
                 self.push(until, Event::OutageEnds);
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -2,6 +2,7 @@
 //! users, with late and lost messages, crashes, cuts, outages and drift. An
 //! observer that knows nothing of the cores checks the protocol's rules.
 
+mod between;
 mod cases;
 mod draining;
 mod observer;
@@ -137,6 +138,7 @@
         world = world.with(20_000 + 4_000 * number as u64, trouble.0, lasts(*trouble));
     }
     world.run();
+    world.observer.ends(world.now, ANSWERED);
     let what = format!("seed {seed}, {troubles:?}");
     assert_eq!(world.observer.broken(), Vec::<String>::new(), "{what}");
     assert!(world.observer.starts > 40, "{what}: ran too little");
@@ -194,6 +196,85 @@
     }
 }
 
+/// Troubles between machines, each by itself and before and after every other one.
+const BETWEEN: [(Case, u64); 4] = [
+    (Case::Deaf, 18),
+    (Case::Copies, 30),
+    (Case::LeaderApart, 20),
+    (Case::TwoApart, 12),
+];
+
+/// By the end of a world its last trouble has been over for longer.
+const ANSWERED: Duration = Duration::from_secs(20);
+
+fn holds_between(trouble: (Case, u64)) {
+    let quick = |seed| World::sized(MEDIUM, seed, Sabotage::None).quick();
+    for seed in seeds(1) {
+        keeps_the_rules(MEDIUM, seed, &[trouble]);
+        for other in CASES.into_iter().chain(ENDS).chain(BETWEEN) {
+            keeps_the_rules_in(quick(seed), seed, &[trouble, other]);
+            keeps_the_rules_in(quick(seed), seed, &[other, trouble]);
+        }
+    }
+}
+
+#[test]
+fn rules_hold_while_machines_are_heard_and_not_reached() {
+    holds_between(BETWEEN[0]);
+}
+
+#[test]
+fn rules_hold_with_late_copies() {
+    holds_between(BETWEEN[1]);
+}
+
+#[test]
+fn rules_hold_while_the_leader_has_its_workers_alone() {
+    holds_between(BETWEEN[2]);
+}
+
+#[test]
+fn rules_hold_while_two_nodes_have_their_workers_alone() {
+    holds_between(BETWEEN[3]);
+}
+
+#[test]
+fn a_job_about_which_nobody_is_answered_is_caught() {
+    let mut world = World::sized(MEDIUM, 3, Sabotage::PassesOver);
+    world.run();
+    world.observer.ends(world.now, ANSWERED);
+    let broken = world.observer.broken();
+    assert!(broken.iter().any(|b| b.starts_with("forgotten")));
+}
+
+/// Unsafe variants break a rule under these troubles, which they may not elsewhere.
+fn caught_under(sabotage: Sabotage, troubles: &[(Case, u64)], rule: &str) {
+    let breaks = |seed| {
+        let mut world = World::sized(MEDIUM, seed, sabotage).quick();
+        for (number, trouble) in troubles.iter().enumerate() {
+            world = world.with(15_000 + 6_000 * number as u64, trouble.0, lasts(*trouble));
+        }
+        world.run();
+        world.observer.broken()
+    };
+    let hit = (0..40).any(|seed| breaks(seed).iter().any(|b| b.starts_with(rule)));
+    assert!(hit, "{sabotage:?} was not caught as {rule}");
+}
+
+/// What a copy of an old report shows is not on the machine any more.
+#[test]
+fn a_copy_that_is_believed_to_be_new_is_caught() {
+    let troubles = [(Case::Copies, 60), (Case::LeaderEnds, 0), (Case::Deaf, 20)];
+    caught_under(Sabotage::BelievesCopies, &troubles, "ran_twice");
+}
+
+/// The leader goes on though another has its place.
+#[test]
+fn a_renewal_that_is_believed_whatever_the_answer_is_caught() {
+    let troubles = [(Case::LeaderApart, 30)];
+    caught_under(Sabotage::BelievesRenewals, &troubles, "ran_twice");
+}
+
 #[test]
 fn rules_hold_with_a_thousand_machines() {
     for seed in seeds(1) {
--- a/tests/world/observer.rs
+++ b/tests/world/observer.rs
@@ -11,6 +11,8 @@
 struct Told {
     state: Option<JobState>,
     withdrawn: bool,
+    /// When a question about it was answered last.
+    answered: Duration,
     cancelled_at: Option<Duration>,
 }
 
@@ -179,6 +181,20 @@
         }
     }
 
+    pub fn answered(&mut self, now: Duration, id: &JobId) {
+        self.told.entry(id.clone()).or_default().answered = now;
+    }
+
+    /// All troubles are over for longer than `within`: whoever asks is answered by then.
+    pub fn ends(&mut self, now: Duration, within: Duration) {
+        let unanswered = |told: &Told| !told.withdrawn && now > told.answered + within;
+        let told = self.told.iter().filter(|(_, told)| unanswered(told));
+        let lost: Vec<JobId> = told.map(|(id, _)| id.clone()).collect();
+        for id in lost {
+            self.breaks(now, "forgotten", format!("{id}: no question is answered"));
+        }
+    }
+
     pub fn state(&self, id: &JobId) -> Option<JobState> {
         self.told.get(id).and_then(|told| told.state)
     }
--- a/tests/world/sim.rs
+++ b/tests/world/sim.rs
@@ -27,6 +27,7 @@
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 use crate::{
+    between::Between,
     cases::Case,
     observer::{Observer, Running},
     rollout::Roll,
@@ -58,6 +59,12 @@
     AnswersApart,
     /// A next leader does not see which machines are being emptied.
     ForgetsDrains,
+    /// A worker's report that knows no leader's token counts as one that knows this one's.
+    BelievesCopies,
+    /// A leader believes a renewal or a proof that its claim stands whatever the answer is.
+    BelievesRenewals,
+    /// Questions about the first jobs are left without an answer.
+    PassesOver,
 }
 
 pub const NODES: usize = 3;
@@ -287,6 +294,7 @@
     pub cuts: Vec<Cut>,
     pub observer: Observer,
     pub roll: Roll,
+    pub between: Between,
 }
 
 fn settings(node: usize, scale: &Scale) -> Settings {
@@ -371,6 +379,7 @@
             results: BTreeSet::new(),
             cuts: Vec::new(),
             roll: Roll::default(),
+            between: Between::default(),
             observer: Observer::new(scale.cancel, "red", scale.team_limit, scale.seats),
         };
         for node in 0..NODES {
@@ -602,6 +611,7 @@
                 } else {
                     now + delay
                 };
+                self.copy_state(&request);
                 self.push(at, Event::AtState(node, epoch, call, request));
                 let reply = StateReply::Unclear;
                 self.push(
@@ -610,6 +620,7 @@
                 );
             }
             Output::Cloud { call, request } => {
+                self.copy_cloud(&request);
                 self.push(now + delay, Event::AtCloud(node, epoch, call, request));
                 let reply = CloudReply::Unclear;
                 let at = now + Duration::from_secs(5);
@@ -635,6 +646,7 @@
                 let message = self.tampered_line(node, message);
                 let to: usize = to[1..].parse().expect("a node's name");
                 if self.now >= self.peers_apart
+                    && !self.loses_peers(node, to)
                     && let Some(at) = self.path(node, to)
                 {
                     let from = format!("n{node}");
@@ -673,6 +685,7 @@
                     self.push(self.now + ms(50), Event::Tick(node));
                 }
                 self.observer.tick(self.now);
+                self.look_for_lost();
                 self.look_at_placement();
             }
             Event::ToNode(node, epoch, input) => {
@@ -730,6 +743,10 @@
     fn at_state(&mut self, node: usize, epoch: u64, call: CallId, request: StateRequest) {
         let now = self.now;
         if self.unreached[node] > now {
+            if let Some(reply) = self.pretended(&request) {
+                self.reply_state(node, epoch, call, reply);
+                return;
+            }
             // The asker has given up by the time; now and then the request still
             // gets there when the cut is over.
             if self.rng.random_bool(0.5) {
@@ -1150,6 +1167,7 @@
         let epoch = self.epochs[node];
         self.asked
             .insert((node, epoch, request), Asker::Worker(name.to_owned(), id));
+        self.copy_report(&report);
         self.push(
             at,
             Event::ToNode(node, epoch, Input::Report { request, report }),
@@ -1161,6 +1179,9 @@
         let Some(worker) = self.workers.get(&name) else {
             return;
         };
+        if self.between.deaf(&name, now) {
+            return;
+        }
         if worker.hung_until > now {
             // A hanging machine gets it when it resumes, before anything else.
             let at = worker.hung_until;
@@ -1352,6 +1373,10 @@
         self.asked
             .insert((node, epoch, request), Asker::User(i, asking, before));
         let at = now + self.delay();
+        self.copy_user(&input);
+        if self.sabotage == Sabotage::PassesOver && i < 3 && asking == Asking::Status {
+            return;
+        }
         self.push(at, Event::ToNode(node, epoch, input));
     }
 
@@ -1392,6 +1417,7 @@
                 self.jobs[i].accepted = true;
                 self.jobs[i].over |= matches!(state, JobState::Done | JobState::Cancelled);
                 self.observer.told(now, &spec, state, before);
+                self.observer.answered(now, &spec.id);
             }
         }
     }
