A plan of rentals fills rooms with little left first

Cause: each small service was counted into a whole booting machine, and what was left of those counted as room for arrays, which asked for no cheap machine until 45 s after the start.

--- a/src/core/rent/ahead.rs
+++ b/src/core/rent/ahead.rs
@@ -57,14 +57,18 @@
         self.0.iter().map(takes).fold(0, u32::saturating_add)
     }
 
-    /// Takes in up to that many tasks, and says how many are left.
+    /// Takes in up to that many tasks, and says how many are left. Rooms with little left
+    /// come first: whole ones stay whole for those who need them so.
     pub fn fill(&mut self, spec: &JobSpec, zone: Option<&str>, mut tasks: u32) -> u32 {
+        let rooms = self.0.iter().enumerate();
+        let mut order: Vec<(u32, usize)> = rooms
+            .map(|(at, alike)| (alike.slots(spec, zone), at))
+            .filter(|(slots, _)| *slots > 0)
+            .collect();
+        order.sort_unstable();
         let mut changed: Vec<Alike> = Vec::new();
-        for alike in &mut self.0 {
-            let slots = alike.slots(spec, zone);
-            if tasks == 0 || slots == 0 {
-                continue;
-            }
+        for (slots, at) in order {
+            let alike = &mut self.0[at];
             let full = (tasks / slots).min(alike.count);
             let rest = match full < alike.count {
                 true => tasks % slots,
@@ -169,4 +173,23 @@
             }
         }
     }
+
+    /// Each small job took a whole room, and what was left of them was counted as room for
+    /// arrays, which then asked for no machines of their own.
+    #[test]
+    fn small_jobs_share_a_room_and_leave_the_others_whole() {
+        let kind: Kind3 = (Arc::from("m"), Arc::from("a"), false);
+        let (small, whole) = (spec(5.0, 1.0, false), spec(57.0, 8.0, false));
+        let mut ahead = Ahead::default();
+        let free = Resources {
+            cpus: 64.0,
+            gpus: 8.0,
+            memory_gb: 50.0,
+        };
+        ahead.add(&kind, free, 3);
+        for _ in 0..2 {
+            assert_eq!(ahead.fill(&small, None, 4), 0);
+        }
+        assert_eq!(ahead.takes(&whole, None), 2);
+    }
 }
