Room for what usually comes until a machine has booted

Cause: classes that are to start within 25 to 60 s waited for machines that were asked for when they came: 25 s of boot and 16 to 36 s of fetch. In the first minutes no machine falls free.

Change: tasks by class are counted by when they were accepted; the middle one of five spans of 10 s tells what usually comes. For classes whose aim leaves no time for a boot and a fetch, room for what comes within a boot is kept and asked for, within the teams' limits.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -405,17 +405,20 @@
                 0
             }
         };
+        // Room for two replicas of each class, and for what is about to come.
+        let services = self.services().into_iter().map(|spec| (spec, 2));
+        let wanted: Vec<(Arc<JobSpec>, u32)> = services.chain(self.expected()).collect();
         let mut spare: Vec<(Arc<JobSpec>, u32)> = Vec::new();
-        for spec in self.services() {
+        for (spec, wanted) in wanted {
             let usable = self.machines.values().filter(|m| self.usable(m, now));
-            let slots = usable.map(|m| holds(&spec, m)).sum();
-            spare.push((spec, slots));
+            let slots: u32 = usable.map(|m| holds(&spec, m)).sum();
+            spare.push((spec, slots.saturating_sub(wanted)));
         }
         let mut go = Vec::new();
         for machine in idle {
             let usable = self.usable(machine, now);
             let takes = |spec: &JobSpec| if usable { holds(spec, machine) } else { 0 };
-            if spare.iter().all(|(spec, left)| *left >= takes(spec) + 2) {
+            if spare.iter().all(|(spec, left)| *left >= takes(spec)) {
                 spare
                     .iter_mut()
                     .for_each(|(spec, left)| *left -= takes(spec));
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -22,6 +22,7 @@
     members::sight::Outlook,
     mirror::LiveJob,
     queue::Queue,
+    rent::arrivals::Arrivals,
     roster::{Roster, ShardRecord},
     squaring::Start,
     store::progress_key,
@@ -182,6 +183,8 @@
     pub(super) parted: Vec<MachineId>,
     /// How fast tasks start.
     pub flow: Flow,
+    /// What usually comes.
+    pub(super) arrivals: Arrivals,
     /// What is let in no more, see `held_up`.
     pub(super) shut: Option<super::job::Priority>,
     /// What the former leader told of machines not met yet.
@@ -269,6 +272,7 @@
             ask: BTreeSet::new(),
             parted: Vec::new(),
             flow: Flow::new(config.report),
+            arrivals: Arrivals::default(),
             shut: None,
             told: Hints::default(),
             garbage: Vec::new(),
@@ -342,6 +346,7 @@
             return;
         }
         let job = Job::new(live, done);
+        self.arrivals.came(&job.spec, job.accepted_ms);
         self.queue.push(id, &job);
         self.jobs.insert(id.clone(), job);
         self.wake();
--- a/src/core/rent.rs
+++ b/src/core/rent.rs
@@ -1,6 +1,7 @@
 //! What is to be rented: for waiting work that neither running nor booting machines take.
 
 mod ahead;
+pub mod arrivals;
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
@@ -104,9 +105,77 @@
                 }
             }
         }
+        self.order_ahead(now, &mut ahead, &mut in_zone, &mut orders);
         orders
     }
 
+    /// Asks for room for what usually comes until a machine has booted, where that is to
+    /// start sooner than it could on a machine that is asked for then.
+    fn order_ahead(
+        &self,
+        now: Duration,
+        ahead: &mut Ahead,
+        in_zone: &mut HashMap<Arc<str>, usize>,
+        orders: &mut Vec<(Kind3, u32, JobId)>,
+    ) {
+        let expected = self.expected();
+        if expected.is_empty() {
+            return;
+        }
+        for m in self.machines.values().filter(|m| self.usable(m, now)) {
+            let kind = (m.machine_type.clone(), m.zone.clone(), m.spot);
+            ahead.add(&kind, m.free(), 1);
+        }
+        let mut left = self.limits_left();
+        for (spec, tasks) in expected {
+            let mut tasks = tasks;
+            if let Some(left) = left.get_mut(&spec.team) {
+                tasks = tasks.min(spec.need.times_in(left));
+                *left = left.plus_times(&spec.need, -f64::from(tasks));
+            }
+            tasks = ahead.fill(&spec, None, tasks);
+            while tasks > 0 {
+                let demand = Demand {
+                    spec: spec.clone(),
+                    tasks: tasks.min(spec.need.times_in(&self.largest(&spec)) * RENT_MOST),
+                };
+                let Some((kind, count)) = self.choose_rental(&demand, |_| 0, in_zone) else {
+                    break;
+                };
+                ahead.add(&kind, self.size(&kind.0), count);
+                *in_zone.entry(kind.1.clone()).or_insert(0) += count as usize;
+                tasks = ahead.fill(&spec, None, tasks);
+                match orders.iter_mut().find(|(known, ..)| *known == kind) {
+                    Some((_, sum, _)) => *sum += count,
+                    None => orders.push((kind, count, spec.id.clone())),
+                }
+            }
+        }
+    }
+
+    /// The largest machine that the job may use.
+    fn largest(&self, spec: &JobSpec) -> Resources {
+        let types = self.types.iter().filter(|t| spec.allows_type(&t.name));
+        let largest = types.max_by_key(|t| spec.need.times_in(&t.size));
+        largest.map(|t| t.size).unwrap_or_default()
+    }
+
+    /// Tasks by class that usually come until a machine has booted, of those classes that
+    /// can't wait for one.
+    pub(super) fn expected(&self) -> Vec<(Arc<JobSpec>, u32)> {
+        let within = |spec: &JobSpec| match self.patience(spec) > 0.0 {
+            true => Duration::ZERO,
+            false => crate::settings::seconds(self.boot_s(spec)),
+        };
+        self.arrivals.expected(self.wall_ms, within)
+    }
+
+    fn boot_s(&self, spec: &JobSpec) -> f64 {
+        let types = self.types.iter().filter(|t| spec.allows_type(&t.name));
+        let least = types.map(|t| t.boot_s).reduce(f64::min);
+        least.unwrap_or(0.0)
+    }
+
     fn size(&self, machine_type: &str) -> Resources {
         self.types
             .iter()
@@ -165,16 +234,14 @@
         demands
     }
 
-    /// For how long, in seconds, the machines that are up may go on clearing an array's
-    /// tasks before more are asked for. Where its tasks are to start sooner than a new
-    /// machine has booted and fetched the image, every moment counts.
+    /// For how long, in seconds, the machines that are up may go on clearing a job's tasks
+    /// before more are asked for. Where they are to start sooner than a new machine has
+    /// booted and fetched the image, every moment counts.
     fn patience(&self, spec: &JobSpec) -> f64 {
-        let boots = self.types.iter().filter(|t| spec.allows_type(&t.name));
-        let boot = boots.map(|t| t.boot_s).fold(f64::INFINITY, f64::min);
         let aims = self.config.objectives.iter();
         let aims = aims.filter(|o| o.kind == "wait" && *o.class == *spec.class);
         let tightest = aims.map(|o| o.within_s).fold(f64::INFINITY, f64::min);
-        let left = tightest - boot - self.fetch_alone(spec);
+        let left = tightest - self.boot_s(spec) - self.fetch_alone(spec);
         left.clamp(0.0, RENT_HORIZON.as_secs_f64())
     }
 
--- a/src/core/rent/ahead.rs
+++ b/src/core/rent/ahead.rs
@@ -93,7 +93,7 @@
 }
 
 #[cfg(test)]
-mod tests {
+pub mod tests {
     use std::collections::BTreeMap;
 
     use rand::{RngExt, SeedableRng, rngs::StdRng};
@@ -101,7 +101,7 @@
     use super::*;
     use crate::core::job::{JobId, Kind, Priority};
 
-    fn spec(cpus: f64, gpus: f64, spot: bool) -> JobSpec {
+    pub fn spec(cpus: f64, gpus: f64, spot: bool) -> JobSpec {
         JobSpec {
             id: JobId::parse("run-1").expect("an id"),
             class: Arc::from("work"),
--- /dev/null
+++ b/src/core/rent/arrivals.rs
@@ -0,0 +1,94 @@
+//! How much of each class comes, so that room is there before it does.
+//!
+//! A class that is to start sooner than a machine boots and fetches can't wait for machines
+//! that are asked for when it comes. What came in each of the last spans of time is
+//! counted by when it was accepted, so that a next leader knows it too; the one in the
+//! middle counts: neither a rush, as when a day begins, nor a pause tells what is usual.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use crate::core::job::JobSpec;
+
+const SPAN: Duration = Duration::from_secs(10);
+/// Spans that are looked at, before the one that is not over.
+const SPANS: usize = 5;
+
+struct Class {
+    /// The one that came last stands for all.
+    spec: Arc<JobSpec>,
+    /// Tasks by span.
+    tasks: BTreeMap<u64, u32>,
+}
+
+#[derive(Default)]
+pub struct Arrivals(BTreeMap<Arc<str>, Class>);
+
+fn span(ms: u64) -> u64 {
+    ms / SPAN.as_millis() as u64
+}
+
+impl Arrivals {
+    pub fn came(&mut self, spec: &Arc<JobSpec>, accepted_ms: u64) {
+        let class = self.0.entry(spec.class.clone());
+        let class = class.or_insert_with(|| Class {
+            spec: spec.clone(),
+            tasks: BTreeMap::new(),
+        });
+        class.spec = spec.clone();
+        *class.tasks.entry(span(accepted_ms)).or_insert(0) += spec.tasks;
+        while class.tasks.len() > SPANS * 2 {
+            class.tasks.pop_first();
+        }
+    }
+
+    /// Tasks of each class that usually come within that time.
+    pub fn expected(
+        &self,
+        now_ms: u64,
+        within: impl Fn(&JobSpec) -> Duration,
+    ) -> Vec<(Arc<JobSpec>, u32)> {
+        let now = span(now_ms);
+        let expected = |class: &Class| {
+            let mut came: Vec<u32> = (1..=SPANS as u64)
+                .filter_map(|ago| now.checked_sub(ago))
+                .map(|span| class.tasks.get(&span).copied().unwrap_or(0))
+                .collect();
+            came.sort_unstable();
+            let usual = came.get(SPANS / 2).copied().unwrap_or(0);
+            let spans = within(&class.spec).as_secs_f64() / SPAN.as_secs_f64();
+            (
+                class.spec.clone(),
+                (f64::from(usual) * spans).round() as u32,
+            )
+        };
+        let expected = self.0.values().map(expected);
+        expected.filter(|(_, tasks)| *tasks > 0).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::{super::ahead::tests::spec, *};
+
+    fn after(spans: &[u32]) -> u32 {
+        let mut arrivals = Arrivals::default();
+        for (at, jobs) in spans.iter().enumerate() {
+            for _ in 0..*jobs {
+                let ms = at as u64 * SPAN.as_millis() as u64 + 5;
+                arrivals.came(&Arc::new(spec(1.0, 1.0, false)), ms);
+            }
+        }
+        let now = (spans.len() as u64) * SPAN.as_millis() as u64 + 1;
+        let expected = arrivals.expected(now, |_| SPAN * 2);
+        expected.first().map_or(0, |(_, tasks)| *tasks)
+    }
+
+    #[test]
+    fn the_usual_counts_and_neither_a_rush_nor_a_pause() {
+        assert_eq!(after(&[500, 80, 4, 5, 6]), 12);
+        assert_eq!(after(&[4, 5, 6, 0, 0]), 8);
+        assert_eq!(after(&[5, 5, 5, 0, 0, 0, 0]), 0);
+        // Nothing is known yet.
+        assert_eq!(after(&[500, 80]), 0);
+    }
+}
