A gang's zones and leftovers are looked up once a pass, and full rooms by GPUs not asked

Change: zones are known once a pass, leftovers by the count that zones rest on, rooms are open by what a task needs, and sums rule a zone out before rooms are tried. The log of counts moved out of the leader's book, which is shorter than it was.

--- a/src/core/flow.rs
+++ b/src/core/flow.rs
@@ -13,8 +13,8 @@
 
 use super::{
     job::Priority,
-    leader::Leader,
-    machine::{Phase, Standing, TaskPhase},
+    leader::{Counts, Leader},
+    machine::{Machine, Phase, Standing, TaskPhase},
 };
 
 /// Starts that were confirmed, over the last one to two spans of time.
@@ -100,8 +100,54 @@
         holding
     }
 
+    /// How things stand, for the log.
+    pub(super) fn log_counts(&mut self, now: Duration) {
+        if now < self.next_log {
+            return;
+        }
+        self.next_log = now + Duration::from_secs(5);
+        let standing = |m: &&Machine| m.standing == Standing::Up;
+        let up = self.machines.values().filter(standing).count();
+        let booting = self.machines.len() - up;
+        let waiting: u32 = self.jobs.values().map(|j| j.waiting_count()).sum();
+        let Counts {
+            starts,
+            victims,
+            nominations,
+            cleared,
+            lost,
+        } = self.counts;
+        debug!(
+            up,
+            booting,
+            jobs = self.jobs.len(),
+            waiting,
+            starts,
+            victims,
+            nominations,
+            cleared,
+            lost,
+            "counts"
+        );
+        self.log_use();
+        let holding = self.holding();
+        debug!(
+            unlisted = holding.unlisted,
+            unsent = holding.unsent,
+            unconfirmed = holding.unconfirmed,
+            fetching = holding.fetching,
+            gathering = holding.gathering,
+            stopping = holding.stopping,
+            unstored = holding.unstored,
+            nominated = holding.nominated,
+            started = self.flow.lately(now),
+            shut = ?self.shut,
+            "holding"
+        );
+    }
+
     /// What the machines are used for, for the log: in whole machines, by what binds.
-    pub(super) fn log_use(&self) {
+    fn log_use(&self) {
         let mut used = [[0.0; 2]; 3];
         let (mut idle, mut all) = ([0; 2], [0; 2]);
         for machine in self.machines.values() {
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -153,7 +153,7 @@
     /// When the first parked job is to be tried again.
     pub(super) next_retry: Option<Duration>,
     pub counts: Counts,
-    next_log: Duration,
+    pub(super) next_log: Duration,
     /// The time of day.
     pub wall_ms: u64,
     /// How far run times of a class are from their estimates, as a logarithm.
@@ -813,52 +813,6 @@
         );
     }
 
-    /// How things stand, for the log.
-    fn log_counts(&mut self, now: Duration) {
-        if now < self.next_log {
-            return;
-        }
-        self.next_log = now + Duration::from_secs(5);
-        let standing = |m: &&Machine| m.standing == Standing::Up;
-        let up = self.machines.values().filter(standing).count();
-        let booting = self.machines.len() - up;
-        let waiting: u32 = self.jobs.values().map(|j| j.waiting_count()).sum();
-        let Counts {
-            starts,
-            victims,
-            nominations,
-            cleared,
-            lost,
-        } = self.counts;
-        debug!(
-            up,
-            booting,
-            jobs = self.jobs.len(),
-            waiting,
-            starts,
-            victims,
-            nominations,
-            cleared,
-            lost,
-            "counts"
-        );
-        self.log_use();
-        let holding = self.holding();
-        debug!(
-            unlisted = holding.unlisted,
-            unsent = holding.unsent,
-            unconfirmed = holding.unconfirmed,
-            fetching = holding.fetching,
-            gathering = holding.gathering,
-            stopping = holding.stopping,
-            unstored = holding.unstored,
-            nominated = holding.nominated,
-            started = self.flow.lately(now),
-            shut = ?self.shut,
-            "holding"
-        );
-    }
-
     /// What time brings: leases that are over, and silent machines proven empty.
     ///
     /// A lease ends only if no other leader has answered the worker meanwhile. One
--- a/src/core/rent.rs
+++ b/src/core/rent.rs
@@ -123,8 +123,11 @@
             return;
         }
         for m in self.machines.values().filter(|m| self.usable(m, now)) {
-            let kind = (m.machine_type.clone(), m.zone.clone(), m.spot);
-            ahead.add(&kind, m.free(), 1);
+            let free = m.free();
+            if expected.iter().any(|(spec, _)| spec.need.fits_in(&free)) {
+                let kind = (m.machine_type.clone(), m.zone.clone(), m.spot);
+                ahead.add(&kind, free, 1);
+            }
         }
         let mut left = self.limits_left();
         for (spec, tasks) in expected {
--- a/src/core/room.rs
+++ b/src/core/room.rs
@@ -2,7 +2,7 @@
 //! was found out on the way. Nothing here decides.
 
 use std::{
-    collections::{BTreeMap, HashMap, HashSet},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     sync::Arc,
 };
 
@@ -87,7 +87,7 @@
 }
 
 /// A room with no more than this left is full.
-const LEAST_CPUS: f64 = 1e-3;
+const LEAST: f64 = 1e-3;
 
 /// What teams' tasks take. There are few teams, and every task of every machine
 /// is counted in every pass: a list beats a map.
@@ -131,9 +131,13 @@
     /// Emptied when nominations change, and with them what is held and stopped.
     pub hopeless: Vec<Hopeless>,
     pub rooms: Vec<Room>,
+    /// Where they are.
+    all_zones: Vec<Arc<str>>,
     /// Rooms that are not full, and some that have become so since. In a rush nearly all
     /// are full, and each of thousands of waiting jobs asks.
     open: Vec<usize>,
+    /// The same by GPUs, where those are what runs out.
+    open_gpus: Vec<usize>,
     /// What each team's tasks take, those that silent machines may hold included.
     pub usage: Usage,
     /// The part of it that is stopping.
@@ -148,10 +152,13 @@
 
 impl View {
     pub fn new(rooms: Vec<Room>, usage: Usage, leaving: Usage, silent: HashSet<JobId>) -> Self {
+        let zones: BTreeSet<&Arc<str>> = rooms.iter().map(|room| &room.zone).collect();
         let mut view = Self {
+            all_zones: zones.into_iter().cloned().collect(),
             hopeless: Vec::new(),
             rooms,
             open: Vec::new(),
+            open_gpus: Vec::new(),
             usage,
             leaving,
             zones: BTreeMap::new(),
@@ -163,21 +170,57 @@
     }
 
     fn look_for_open(&mut self) {
-        let open = self.rooms.iter().enumerate();
-        let open = open.filter(|(_, room)| room.free.cpus > LEAST_CPUS);
-        self.open = open.map(|(index, _)| index).collect();
+        let open = |free: fn(&Resources) -> f64| {
+            let rooms = self.rooms.iter().enumerate();
+            let open = rooms.filter(|(_, room)| free(&room.free) > LEAST);
+            open.map(|(index, _)| index).collect()
+        };
+        (self.open, self.open_gpus) = (open(|free| free.cpus), open(|free| free.gpus));
     }
 
     /// Rooms that may have room for such a task as they are.
     pub fn may_fit(&self, spec: &JobSpec) -> impl Iterator<Item = usize> {
         // One that needs next to nothing may fit anywhere.
-        let (open, all) = match spec.need.cpus > 2.0 * LEAST_CPUS {
-            true => (&self.open[..], 0..0),
-            false => (&[][..], 0..self.rooms.len()),
+        let (open, all) = match (spec.need.gpus > 2.0 * LEAST, spec.need.cpus > 2.0 * LEAST) {
+            (true, _) => (&self.open_gpus[..], 0..0),
+            (false, true) => (&self.open[..], 0..0),
+            (false, false) => (&[][..], 0..self.rooms.len()),
         };
         open.iter().copied().chain(all)
     }
 
+    /// The zones to try for a gang, each alone where it must stay in one. Gathered from the
+    /// machines for each waiting gang, they were most of a pass.
+    pub fn gang_zones(&self, spec: &JobSpec) -> Vec<Vec<Arc<str>>> {
+        match spec.one_zone {
+            true => self.all_zones.iter().map(|z| vec![z.clone()]).collect(),
+            false => vec![self.all_zones.clone()],
+        }
+    }
+
+    /// Whether so many tasks may find room in these zones, by numbers alone: `free` tells
+    /// what a room may give.
+    pub fn may_hold(
+        &self,
+        spec: &JobSpec,
+        tasks: usize,
+        zones: &[Arc<str>],
+        free: impl Fn(&Room) -> Resources,
+    ) -> bool {
+        let mut left = tasks as u32;
+        for room in &self.rooms {
+            let free = free(room);
+            if !spec.need.fits_in(&free) || !zones.contains(&room.zone) {
+                continue;
+            }
+            left = left.saturating_sub(spec.need.times_in(&free));
+            if left == 0 {
+                return true;
+            }
+        }
+        false
+    }
+
     /// Another job like it found no room. A nominated one may have room that is held
     /// for itself alone.
     pub fn rules_out(&self, spec: &JobSpec, nominated: bool) -> bool {
@@ -239,7 +282,7 @@
 }
 
 /// Where the other tasks of the job are counts for where one may be, or is best.
-fn by_zone(spec: &JobSpec) -> bool {
+pub(super) fn by_zone(spec: &JobSpec) -> bool {
     spec.one_zone || spec.spread || spec.kind == Kind::Service
 }
 
--- a/src/core/sched/gangs.rs
+++ b/src/core/sched/gangs.rs
@@ -6,7 +6,7 @@
 use crate::core::{
     job::{JobId, JobSpec, Resources, TaskId},
     leader::Slot,
-    room::View,
+    room::{Room, View, by_zone},
     squaring::Order,
 };
 
@@ -22,18 +22,21 @@
         if self.jobs[id].placed > 0 || self.over_limit(view, spec, spec.tasks, now) {
             return false;
         }
-        let lingering = self.machines.values().any(|m| {
-            m.tasks
-                .iter()
-                .any(|((task, _), p)| task.job == *id && !p.exited())
-        });
+        let lingering = match by_zone(spec) {
+            // They were counted for where the others may be.
+            true => !view.zones.is_empty(),
+            false => self.machines.values().any(|m| {
+                let mut tasks = m.tasks.iter();
+                tasks.any(|((task, _), p)| task.job == *id && !p.exited())
+            }),
+        };
         if lingering {
             return false;
         }
         let tasks: Vec<u32> = (0..spec.tasks)
             .filter(|i| self.jobs[id].slots[*i as usize] == Slot::Waiting)
             .collect();
-        for zones in self.gang_zones(spec) {
+        for zones in view.gang_zones(spec) {
             if let Some(rooms) = self.fit_gang(view, spec, &tasks, &zones, now) {
                 let job = self.jobs.get_mut(id).expect("job at hand");
                 job.gathers = false;
@@ -67,7 +70,7 @@
     /// its equals may go first, but not for ever.
     fn gather(&self, view: &mut View, id: &JobId, spec: &JobSpec, tasks: usize) {
         let mut best: Vec<usize> = Vec::new();
-        for zones in self.gang_zones(spec) {
+        for zones in view.gang_zones(spec) {
             let there = view.may_fit(spec).filter(|index| {
                 let room = &view.rooms[*index];
                 zones.contains(&room.zone) && self.fits(view, room, spec, &room.free)
@@ -91,17 +94,6 @@
         }
     }
 
-    /// The zones to try, each alone where the gang must stay in one.
-    fn gang_zones(&self, spec: &JobSpec) -> Vec<Vec<Arc<str>>> {
-        let mut zones: Vec<Arc<str>> = self.machines.values().map(|m| m.zone.clone()).collect();
-        zones.sort();
-        zones.dedup();
-        match spec.one_zone {
-            true => zones.into_iter().map(|z| vec![z]).collect(),
-            false => vec![zones],
-        }
-    }
-
     /// Rooms for every task of a gang, tried on the view and put back.
     fn fit_gang(
         &self,
@@ -111,6 +103,9 @@
         zones: &[Arc<str>],
         now: Duration,
     ) -> Option<Vec<usize>> {
+        if !view.may_hold(spec, tasks.len(), zones, |room| room.free) {
+            return None;
+        }
         let before: Vec<Resources> = view.rooms.iter().map(|r| r.free).collect();
         let zones_before = view.zones.clone();
         let mut chosen = Vec::new();
@@ -144,7 +139,12 @@
         tasks: &[u32],
         now: Duration,
     ) {
-        for zones in self.gang_zones(spec) {
+        let reclaims = self.within_guarantee(view, spec);
+        let most = |room: &Room| room.most_free(spec.priority, reclaims);
+        for zones in view.gang_zones(spec) {
+            if !view.may_hold(spec, tasks.len(), &zones, most) {
+                continue;
+            }
             let before: Vec<Resources> = view.rooms.iter().map(|r| r.free).collect();
             let zones_before = view.zones.clone();
             let mut plans = Vec::new();
