A leader's term grows only with a proof of its copy, and take-overs stop what is cancelled

Cause, both found in the simulated world on the code as it was (ran_cancelled): the term grew with a renewal and a bare comparison of the claim, so a leader whose own watch was silent went on without the cancellations that others confirmed; and a take-over kept leases alive without any command, so that a claim just before an outage carried cancelled tasks through another term and another lease. Now the claim is proven by a watch that does not wait, in place of the comparison: one request, as before, which brings the cancellations too. A node acts from its first proof on. While it takes over it stops tasks of jobs that are over. Settings whose cancel_s leaves nothing for a leader's term are refused by name.

The new tests fail on the code as it was, but for the plain gap, which held there.

--- a/src/core/commands.rs
+++ b/src/core/commands.rs
@@ -3,6 +3,7 @@
 use std::{cmp::Reverse, collections::BTreeSet, time::Duration};
 
 use super::{
+    Answer, Node,
     job::Kind,
     leader::{Direct, Leader},
     machine::{
@@ -16,6 +17,31 @@
 /// Machines of one zone that are asked at a time whether they answer.
 const ASKED: usize = 4;
 
+/// Commands in one answer at most: it stays under the protocol's limit for one line.
+const COMMANDS_MOST: usize = 400;
+
+impl Node {
+    /// While it takes over, a worker's lease is kept alive, and its tasks of jobs that are
+    /// over are stopped: a lease that is renewed without that would carry cancelled tasks
+    /// through one take-over after the other. Other commands come later, and the report is
+    /// not counted as heard.
+    pub(super) fn keep_alive(&self, report: &WorkerReport) -> Option<Answer> {
+        let token = self.lead.token()?;
+        let over = |job| !self.mirror.jobs.contains_key(job) && !self.mirror.obscure(job);
+        let left = report.tasks.iter().filter(|t| !t.phase.exited());
+        let commands = left.filter(|t| over(&t.task.job)).take(COMMANDS_MOST);
+        let commands = commands.map(|t| Command::Stop {
+            task: t.task.clone(),
+            attempt: t.attempt,
+            grace: Duration::ZERO,
+        });
+        (report.token >> 16 <= token >> 16).then(|| Answer::Commands {
+            token,
+            commands: commands.collect(),
+        })
+    }
+}
+
 impl Leader {
     /// Commands that need not wait for the next report. A worker that does not
     /// know this leader's token yet gets it at once, and its tasks become known.
@@ -219,8 +245,7 @@
             }
         }
         ends.extend(starts);
-        // The answer stays under the protocol's limit for one line.
-        ends.truncate(400);
+        ends.truncate(COMMANDS_MOST);
         ends
     }
 }
--- a/src/core/config.rs
+++ b/src/core/config.rs
@@ -8,7 +8,7 @@
 
 use kiteyard_rollout::generation::Ability;
 
-use crate::settings::{Settings, Team, seconds};
+use crate::settings::{DRIFT, MARGIN, Settings, Team, seconds};
 
 /// Of the requests that the state service takes, all nodes' proofs together use
 /// one in so many, and so do the followers' watches.
@@ -18,8 +18,8 @@
 /// many there are: for each this time of a whole core, and a larger share of one
 /// allows for more rounds.
 const ROUND_PER_MACHINE: Duration = Duration::from_micros(18);
-/// Steady clocks may differ by this share.
-const DRIFT: f64 = 0.001;
+/// A leader's lease lasts no longer, however much time a cancellation has.
+const TTL_MOST: Duration = Duration::from_secs(20);
 
 /// Choices of the operators.
 #[derive(Debug, Clone)]
@@ -110,15 +110,7 @@
         let params = &settings.params;
         let workers = &params.workers;
         let nodes = settings.nodes();
-        let margin = Duration::from_millis(300);
-        let worker_lease_bound = seconds(workers.lease_s * (1.0 + 2.0 * DRIFT)) + margin;
-        // A leader that is refused by the state service does not hear of
-        // cancellations: its term and the workers' leases after it must end
-        // within the time a cancellation has.
-        let slack = seconds(workers.cancel_s).saturating_sub(worker_lease_bound);
-        let leader_ttl = slack
-            .saturating_sub(Duration::from_secs(3))
-            .clamp(Duration::from_secs(4), Duration::from_secs(20));
+        let leader_ttl = workers.left_to_cancel().min(TTL_MOST);
         Self {
             node: settings.node.clone(),
             nodes,
@@ -138,9 +130,9 @@
             objectives: params.objectives.clone(),
             report: seconds(workers.report_s),
             gang_wait: seconds(workers.gang_wait_s),
-            worker_lease_bound,
+            worker_lease_bound: workers.lease_bound(),
             leader_ttl,
-            leader_term: leader_ttl.mul_f64(1.0 - 2.0 * DRIFT).saturating_sub(margin),
+            leader_term: leader_ttl.mul_f64(1.0 - 2.0 * DRIFT).saturating_sub(MARGIN),
             leader_silent: super::pulse::leader_silent(seconds(workers.lease_s)),
             round_per_machine: ROUND_PER_MACHINE
                 .div_f64(params.resources.cpu_share.clamp(0.05, 1.0)),
--- a/src/core/lead.rs
+++ b/src/core/lead.rs
@@ -25,9 +25,10 @@
     lease: Option<u64>,
     /// Revision of the claim while it stands.
     claim: Option<u64>,
-    /// Until then the lease stands.
-    lease_until: Duration,
-    /// Until then this node may act as the leader.
+    /// The last good renewal was asked for then.
+    renewed: Duration,
+    /// Until then this node may act as the leader: a term after the last renewal that was
+    /// followed by a proof of the claim and of the copy. Never before the first proof.
     valid_until: Duration,
     next_renewal: Duration,
     renewing: bool,
@@ -103,7 +104,6 @@
 #[derive(Debug, Default)]
 struct TakeOver {
     started: bool,
-    synced: bool,
     progress: Option<BTreeMap<JobId, TaskSet>>,
     roster: Option<Vec<(u32, ShardRecord, u64)>>,
     progress_so_far: BTreeMap<JobId, TaskSet>,
@@ -139,7 +139,6 @@
 
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Loading {
-    Sync { claim: u64 },
     Progress { claim: u64 },
     Roster { claim: u64 },
 }
@@ -147,17 +146,15 @@
 impl Loading {
     fn claim(self) -> u64 {
         match self {
-            Loading::Sync { claim } | Loading::Progress { claim } | Loading::Roster { claim } => {
-                claim
-            }
+            Loading::Progress { claim } | Loading::Roster { claim } => claim,
         }
     }
 }
 
 impl Node {
     /// Holds a claim and is inside its term. A claim whose term ran out while
-    /// the state service was away stands again with the next good renewal, since
-    /// the lease then never ended.
+    /// the state service was away stands again with the next good renewal and proof,
+    /// since the lease then never ended.
     pub(super) fn leads(&self) -> bool {
         self.lead.claim.is_some() && self.now() < self.lead.valid_until
     }
@@ -290,15 +287,13 @@
         self.lead.renewing = false;
         match reply {
             StateReply::Renewed => {
-                let until = sent + self.config.leader_term;
-                self.lead.lease_until = self.lead.lease_until.max(until);
+                self.lead.renewed = self.lead.renewed.max(sent);
                 // The lease outlives a claim that another node has replaced, so
                 // the term grows only once the claim was seen to stand as well.
-                self.verify(sent);
+                self.verify();
             }
             StateReply::LeaseGone => {
                 self.lead.lease = None;
-                self.lead.lease_until = Duration::ZERO;
                 self.lead.valid_until = Duration::ZERO;
                 self.drop_leader("its lease is gone");
             }
@@ -306,20 +301,24 @@
         }
     }
 
-    /// Asks whether the claim stands, after a renewal that was asked for at `renewed`.
-    fn verify(&mut self, renewed: Duration) {
+    /// Asks whether the claim stands, and for all that was stored until now: a watch that
+    /// does not wait tells both. Were the claim alone compared, a leader whose own watch is
+    /// refused, lost or slow would go on without the cancellations that others confirm.
+    fn verify(&mut self) {
         let Some(claim) = self.lead.claim else { return };
-        let asked = self.now();
+        let (asked, renewed) = (self.now(), self.lead.renewed);
         self.lead.proof_asked = asked;
-        self.call(
+        self.call_within(
+            self.take_over_time(),
             Purpose::Verify {
                 claim,
                 renewed,
                 asked,
             },
-            StateRequest::Txn {
-                conditions: vec![when(LEADER, claim)],
-                changes: Vec::new(),
+            StateRequest::Watch {
+                prefix: LIVE.into(),
+                after: self.mirror.cursor,
+                wait: Duration::ZERO,
             },
         );
     }
@@ -327,7 +326,7 @@
     /// What rests on the claim must not wait for the next renewal.
     pub(super) fn hurry_proof(&mut self) {
         if self.now() > self.lead.proof_asked + BACK_OFF {
-            self.verify(Duration::ZERO);
+            self.verify();
         }
     }
 
@@ -335,28 +334,22 @@
         self.lead.proven
     }
 
-    /// The claim stood after `asked`.
+    /// The claim stood after `asked`, and whatever was stored before is in the copy. So
+    /// whoever acts knows each cancellation that was confirmed more than a term ago.
     pub(super) fn verified(
         &mut self,
         claim: u64,
         renewed: Duration,
         asked: Duration,
-        reply: &StateReply,
+        reply: StateReply,
     ) {
-        if self.lead.claim != Some(claim) {
-            return;
-        }
-        match reply {
-            StateReply::Committed { .. } => {
-                self.lead.proven = self.lead.proven.max(asked);
-                if renewed.is_zero() {
-                    return;
-                }
-                let until = renewed + self.config.leader_term;
-                self.lead.valid_until = self.lead.valid_until.max(until);
-            }
-            StateReply::Conflict => self.drop_leader("another node has taken its place"),
-            _ => {}
+        let copied = self.take_events(reply);
+        let standing = self.mirror.leader.as_ref().map(|(_, version)| *version);
+        // A claim that has gone was dropped with the events.
+        if copied && self.lead.claim == Some(claim) && standing == Some(claim) {
+            self.lead.proven = self.lead.proven.max(asked);
+            let until = renewed + self.config.leader_term;
+            self.lead.valid_until = self.lead.valid_until.max(until);
         }
     }
 
@@ -373,7 +366,8 @@
             StateReply::Committed { revision } if self.lead.lease == Some(lease) => {
                 info!(claim = revision, after = ?(now - sent), ?former, "lead");
                 self.lead.claim = Some(revision);
-                self.lead.valid_until = self.lead.lease_until;
+                // What was confirmed until now may be missing in the copy yet.
+                self.lead.valid_until = Duration::ZERO;
                 self.lead.proven = sent;
                 self.lead.former_stopped = match former {
                     Former::Predecessor => Duration::ZERO,
@@ -384,6 +378,7 @@
                 self.lead.taking = Some(TakeOver::default());
                 self.lead.vacating = None;
                 self.members.leads_now(now);
+                self.verify();
             }
             StateReply::LeaseGone => {
                 self.lead.lease = None;
@@ -470,7 +465,6 @@
     /// removed, the lease, which is not renewed any more, ends by itself.
     pub(super) fn vacate(&mut self, claim: u64, wait: Duration) {
         self.lead.lease = None;
-        self.lead.lease_until = Duration::ZERO;
         self.lead.valid_until = Duration::ZERO;
         self.lead.vacating = Some(Vacating {
             claim,
@@ -522,10 +516,14 @@
 
     fn pump_take_over(&mut self) {
         let now = self.now();
+        if self.lead.taking.is_some() && !self.leads() {
+            self.hurry_proof();
+        }
+        let acts = self.leads();
         let (Some(taking), Some(claim)) = (&mut self.lead.taking, self.lead.claim) else {
             return;
         };
-        if now < self.lead.valid_until
+        if now < self.lead.renewed + self.config.leader_term
             && !taking.started
             && taking.in_flight == 0
             && now >= taking.retry
@@ -533,26 +531,13 @@
             taking.started = true;
             taking.progress_so_far.clear();
             taking.roster_so_far.clear();
-            taking.in_flight = 3;
-            let after = self.mirror.cursor;
-            self.call_within(
-                self.take_over_time(),
-                Purpose::TakeOver(Loading::Sync { claim }),
-                StateRequest::Watch {
-                    prefix: LIVE.into(),
-                    after,
-                    wait: Duration::ZERO,
-                },
-            );
+            taking.in_flight = 2;
             self.take_over_page(Loading::Progress { claim }, None);
             self.take_over_page(Loading::Roster { claim }, None);
             return;
         }
-        if taking.in_flight > 0
-            || !taking.synced
-            || taking.progress.is_none()
-            || taking.roster.is_none()
-        {
+        // The copy must hold what came until the claim, too.
+        if taking.in_flight > 0 || !acts || taking.progress.is_none() || taking.roster.is_none() {
             return;
         }
         let Some(types) = self.mirror.types.clone() else {
@@ -594,19 +579,6 @@
     }
 
     pub(super) fn take_over_reply(&mut self, loading: Loading, reply: StateReply) {
-        if let Loading::Sync { .. } = loading
-            && matches!(reply, StateReply::Events { .. } | StateReply::TooOld)
-        {
-            let proven = self.take_events(reply);
-            // What was read before the claim could miss what came until then.
-            if let Some(taking) = &mut self.lead.taking
-                && self.lead.claim == Some(loading.claim())
-            {
-                taking.synced = proven;
-                taking.in_flight -= 1;
-            }
-            return;
-        }
         let now = self.now();
         if self.lead.claim != Some(loading.claim()) {
             return;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -225,7 +225,7 @@
     Renew {
         sent: Duration,
     },
-    /// Compares the claim after a renewal that was asked for at `renewed`, if any.
+    /// Proves the claim and the copy after a renewal that was asked for at `renewed`.
     Verify {
         claim: u64,
         renewed: Duration,
@@ -594,13 +594,13 @@
                 claim,
                 renewed,
                 asked,
-            } => self.verified(claim, renewed, asked, &reply),
+            } => self.verified(claim, renewed, asked, reply),
             Purpose::Claim {
                 lease,
                 sent,
                 former,
             } => self.claimed(lease, sent, former, reply),
-            Purpose::Probe => self.probed(),
+            Purpose::Probe => self.probed(&reply),
             Purpose::Sign => self.signed(),
             Purpose::Settle => self.settled(),
             Purpose::Vacate { claim } => self.vacated(claim, &reply),
@@ -657,13 +657,7 @@
             return None;
         }
         let Some(leader) = &mut self.leader else {
-            // Taking over: the worker's lease is kept alive, commands come later.
-            // The report is not counted as heard.
-            let token = self.lead.token()?;
-            return (report.token >> 16 <= token >> 16).then(|| Answer::Commands {
-                token,
-                commands: Vec::new(),
-            });
+            return self.keep_alive(report);
         };
         if report.token >> 16 > leader.claim {
             // Somebody with a later claim has commanded it.
--- a/src/core/pulse.rs
+++ b/src/core/pulse.rs
@@ -28,6 +28,8 @@
 pub struct Pulses {
     next: Duration,
     probing: bool,
+    /// The leader that is to make way, and its claim, once the state service has answered.
+    refused: Option<(String, u64)>,
 }
 
 /// A worker waits this long for an answer, and this long before it tries another node.
@@ -134,15 +136,28 @@
             self.out.push(Output::Peer { to, message });
         }
         // A node that has nothing to ask would not know whether it is served.
-        if silent && !self.pulses.probing && self.mirror.loaded {
+        if silent {
+            self.probe();
+        }
+    }
+
+    fn probe(&mut self) {
+        if !self.pulses.probing && self.mirror.loaded {
             self.pulses.probing = true;
             let key = store::LEADER.to_owned();
             self.call(Purpose::Probe, store::StateRequest::Get { key });
         }
     }
 
-    pub(super) fn probed(&mut self) {
+    pub(super) fn probed(&mut self, reply: &StateReply) {
         self.pulses.probing = false;
+        let Some((to, claim)) = self.pulses.refused.take() else {
+            return;
+        };
+        if matches!(reply, StateReply::Entry(entry) if entry.version == claim) {
+            let message = PeerMessage::Resign { claim };
+            self.out.push(Output::Peer { to, message });
+        }
     }
 
     pub(super) fn pulse(&mut self, from: String, pulse: Pulse) {
@@ -151,11 +166,10 @@
         let leads = pulse.heard.is_zero() && self.known_leader() == Some((&from, pulse.claim));
         let served = self.members.nodes.state_silence(now) < super::members::nodes::REACHES;
         if leads && pulse.state > REFUSED && served {
-            let claim = pulse.claim;
-            self.out.push(Output::Peer {
-                to: from.clone(),
-                message: PeerMessage::Resign { claim },
-            });
+            // By now it may be away for everybody: a leader that made way then would leave
+            // the place empty until it is back, and its workers without their leases.
+            self.pulses.refused = Some((from.clone(), pulse.claim));
+            self.probe();
         }
         self.members.nodes.pulse(from, pulse, leads, now);
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -103,6 +103,30 @@
     pub cancel_s: f64,
 }
 
+/// Steady clocks may differ by this share.
+pub const DRIFT: f64 = 0.001;
+/// What is taken off or added where two processes measure the same time.
+pub const MARGIN: Duration = Duration::from_millis(300);
+/// A cancellation's time beyond a leader's term and a worker's lease: commands that went
+/// straight to a worker and were not answered are void after a part of it.
+const CANCEL_MARGIN: Duration = Duration::from_secs(3);
+/// A leader's lease must last so long, or answers that take a little would end it.
+const TTL_LEAST: Duration = Duration::from_secs(2);
+
+impl Workers {
+    /// By then a worker's lease is over, counted from when it was last answered.
+    pub fn lease_bound(&self) -> Duration {
+        seconds(self.lease_s * (1.0 + 2.0 * DRIFT)) + MARGIN
+    }
+
+    /// How long a leader may go on without hearing of cancellations: after that its
+    /// workers' leases have to end within what is left of a cancellation's time.
+    pub fn left_to_cancel(&self) -> Duration {
+        let left = seconds(self.cancel_s).saturating_sub(self.lease_bound());
+        left.saturating_sub(CANCEL_MARGIN)
+    }
+}
+
 #[derive(Debug, Clone, Deserialize)]
 pub struct StateLimits {
     pub rps: f64,
@@ -188,6 +212,16 @@
                 return fail(field, "must be a number above zero");
             }
         }
+        if workers.left_to_cancel() < TTL_LEAST {
+            let least = workers.lease_bound() + CANCEL_MARGIN + TTL_LEAST;
+            let message = format!(
+                "must be at least {:.1} s with `lease_s` = {}: a leader that does not hear of a \
+                 cancellation, and its workers' leases after it, must end within it",
+                least.as_secs_f64(),
+                workers.lease_s
+            );
+            return fail("params.workers.cancel_s", &message);
+        }
         if !(0.0..1e6).contains(&params.cloud.list_lag_s) {
             return fail("params.cloud.list_lag_s", "must be zero or more");
         }
--- a/tests/world/cases.rs
+++ b/tests/world/cases.rs
@@ -46,6 +46,12 @@
     ZoneApart,
     /// The state service is away.
     Outage,
+    /// It refuses the leader alone while users cancel, and then is away for all.
+    Gap,
+    /// The same, and it goes away just when another node has claimed.
+    GapAfterClaim,
+    /// The leader's own watch tells nothing while users cancel.
+    SilentWatch,
     /// A node that does not lead is started again from the old build.
     OldAgain,
     /// Operators want the old forms back.
@@ -140,6 +146,9 @@
                 self.node_apart(leader, until);
                 self.node_apart((leader + 1) % NODES, until);
             }
+            Case::Gap => self.gap(leader, lasts),
+            Case::GapAfterClaim => self.gap_after_claim(leader, lasts),
+            Case::SilentWatch => self.silent_watch(leader, lasts),
             Case::Outage => {
                 self.outage = true;
                 self.push(until, Event::OutageEnds);
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -5,6 +5,8 @@
 mod between;
 mod cases;
 mod draining;
+mod gap;
+mod meetings;
 mod observer;
 mod rolling;
 mod rollout;
--- a/tests/world/observer.rs
+++ b/tests/world/observer.rs
@@ -60,8 +60,18 @@
         }
     }
 
+    /// The job was reported as cancelled longer ago than its tasks may go on.
+    fn cancelled_long_ago(&self, now: Duration, task: &TaskId) -> bool {
+        let told = self.told.get(&task.job);
+        let at = told.and_then(|told| told.cancelled_at);
+        at.is_some_and(|at| now > at + self.cancel_within)
+    }
+
     pub fn started(&mut self, now: Duration, task: &TaskId, running: Running) {
         self.starts += 1;
+        if self.cancelled_long_ago(now, task) {
+            self.breaks(now, "ran_cancelled", format!("{task} starts"));
+        }
         if let Some(other) = self.on.get(task) {
             let what = format!("{task} on {} and {}", other.machine, running.machine);
             self.breaks(now, "ran_twice", what);
@@ -120,12 +130,7 @@
         let late: Vec<String> = self
             .on
             .keys()
-            .filter(|task| {
-                self.told
-                    .get(&task.job)
-                    .and_then(|told| told.cancelled_at)
-                    .is_some_and(|at| now > at + self.cancel_within)
-            })
+            .filter(|task| self.cancelled_long_ago(now, task))
             .map(|task| task.to_string())
             .collect();
         for task in late {
--- a/tests/world/sim.rs
+++ b/tests/world/sim.rs
@@ -29,6 +29,7 @@
 use crate::{
     between::Between,
     cases::Case,
+    meetings::Meetings,
     observer::{Observer, Running},
     rollout::Roll,
     state::State,
@@ -61,6 +62,8 @@
     ForgetsDrains,
     /// Questions about the first jobs are left without an answer.
     PassesOver,
+    /// The leader's term grows with a renewal and the claim, whatever its copy holds.
+    RenewalAlone,
 }
 
 pub const NODES: usize = 3;
@@ -168,12 +171,15 @@
     WorkerTick(String),
     Answered(usize, u64, RequestId, Answer),
     User(usize),
+    /// The same, at this node.
+    UserAt(usize, usize),
     Trouble,
     Restart(usize),
     /// A line between nodes, for whatever process is there by then.
     Line(usize, Input),
     /// What a process had decided when it was stopped goes out now.
     Outputs(usize, u64, Vec<Output>),
+    OutageBegins,
     OutageEnds,
     Crash(usize),
     Bring(Case, Duration),
@@ -268,7 +274,7 @@
     pub state: State,
     watches: Vec<(usize, u64, CallId, StateRequest, Duration)>,
     pub outage: bool,
-    refused: Vec<Duration>,
+    pub refused: Vec<Duration>,
     /// Nodes refuse one another's connections until then.
     pub peers_apart: Duration,
     /// The state service answers slowly until then.
@@ -291,6 +297,7 @@
     pub observer: Observer,
     pub roll: Roll,
     pub between: Between,
+    pub meetings: Meetings,
 }
 
 fn settings(node: usize, scale: &Scale) -> Settings {
@@ -376,6 +383,7 @@
             cuts: Vec::new(),
             roll: Roll::default(),
             between: Between::default(),
+            meetings: Meetings::default(),
             observer: Observer::new(scale.cancel, "red", scale.team_limit, scale.seats),
         };
         for node in 0..NODES {
@@ -703,7 +711,13 @@
                     self.answered(node, asker, answer);
                 }
             }
-            Event::User(i) => self.user(i),
+            Event::User(i) => {
+                let again = self.now + ms(self.rng.random_range(1200..4000));
+                self.push(again, Event::User(i));
+                let node = self.asked_node();
+                self.user(i, node);
+            }
+            Event::UserAt(i, node) => self.user(i, node),
             Event::Trouble => self.trouble(),
             Event::Restart(node) => self.restart(node),
             Event::Crash(node) => self.crash(node),
@@ -729,6 +743,7 @@
                 let (request, ask) = (u64::MAX, Ask::StepDown);
                 self.step(node, Input::Rollout { request, ask });
             }
+            Event::OutageBegins => self.outage = true,
             Event::OutageEnds => {
                 self.outage = false;
                 self.state.outage_over(self.now);
@@ -762,10 +777,13 @@
             if self.crashes_before(node, &request) {
                 return;
             }
+            if self.swallowed(node, &request) {
+                return;
+            }
             let before = self.state.revision();
             let reply = match (&request, self.sabotage) {
-                (StateRequest::Watch { after, wait, .. }, Sabotage::UnprovenAnswers)
-                    if wait.is_zero() =>
+                (StateRequest::Watch { after, wait, .. }, sabotage)
+                    if wait.is_zero() && self.believes(node, sabotage) =>
                 {
                     Some(StateReply::Events {
                         events: Vec::new(),
@@ -778,6 +796,7 @@
                 }),
                 _ => self.state.call(now, &request),
             };
+            self.look_at_commit(&request, reply.as_ref());
             if self.state.revision() != before {
                 self.wake_watches();
                 self.look_at_stage();
@@ -803,6 +822,14 @@
             if self.now >= until || self.unreached[node] > self.now {
                 continue;
             }
+            if self.swallowed(node, &request) {
+                continue;
+            }
+            // While a node is refused, its open watches wait as they would in an outage.
+            if self.outage || self.refused[node] > self.now {
+                self.watches.push((node, epoch, call, request, until));
+                continue;
+            }
             match self.state.call(self.now, &request) {
                 Some(reply) => self.reply_state(node, epoch, call, reply),
                 None => self.watches.push((node, epoch, call, request, until)),
@@ -1328,11 +1355,20 @@
 
     // Users.
 
-    fn user(&mut self, i: usize) {
+    /// Services that run until somebody cancels them.
+    pub fn services(&self) -> Vec<usize> {
+        let running = |job: &Job| job.spec.kind == Kind::Service && job.accepted && !job.over;
+        (0..self.jobs.len())
+            .filter(|i| running(&self.jobs[*i]))
+            .collect()
+    }
+
+    pub fn withdraw(&mut self, i: usize, at: Duration) {
+        self.jobs[i].withdraw_at = Some(at);
+    }
+
+    fn user(&mut self, i: usize, node: usize) {
         let now = self.now;
-        let again = now + ms(self.rng.random_range(1200..4000));
-        self.push(again, Event::User(i));
-        let node = self.rng.random_range(0..NODES);
         if self.nodes[node].is_none() {
             return;
         }
