A leader's lease as long as a cancellation allows; one that was away waits for its workers

The leader's lease was cut at 20 s though cancel_s of 56.5 s with a lease of 26.5 s leaves 26.6 s: the cap is 30 s now. And when it stood again after the outage, 186 services went to the first machines that came back, one of them to where it had been: it waits 1.2 s now, in which nearly all come.

--- a/src/core/config.rs
+++ b/src/core/config.rs
@@ -19,7 +19,7 @@
 /// allows for more rounds.
 const ROUND_PER_MACHINE: Duration = Duration::from_micros(18);
 /// A leader's lease lasts no longer, however much time a cancellation has.
-const TTL_MOST: Duration = Duration::from_secs(20);
+const TTL_MOST: Duration = Duration::from_secs(30);
 
 /// Choices of the operators.
 #[derive(Debug, Clone)]
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -834,8 +834,8 @@
             .filter(|m| self.lease_over(m).is_some_and(|at| proven > at))
             .map(|m| m.id.clone())
             .collect();
-        for id in lost {
-            let machine = self.machines.get_mut(&id).expect("just listed");
+        for id in &lost {
+            let machine = self.machines.get_mut(id).expect("just listed");
             machine.dead_session = machine.session;
             machine.fenced = false;
             // Heard once under this claim, so its lease was counted from then.
@@ -845,9 +845,9 @@
             }
             self.counts.lost += 1;
             info!(machine = %id, tasks = machine.tasks.len(), "machine lost");
-            self.session_over(&id, now);
-            self.requeue();
+            self.session_over(id, now);
         }
+        self.lost_at_once(lost.len(), now);
         let unresolved = self.machines.values().filter(|m| m.unresolved);
         let empty = unresolved.filter(|m| proven > self.resolved_by(m));
         let empty: Vec<MachineId> = empty.map(|m| m.id.clone()).collect();
--- a/src/core/squaring.rs
+++ b/src/core/squaring.rs
@@ -13,7 +13,7 @@
     config::Config,
     job::{JobSpec, TaskId},
     leader::{Leader, Slot},
-    machine::{Machine, TaskPhase, Why},
+    machine::{Machine, Standing, TaskPhase, Why},
     pulse::WORKER_RETRY,
 };
 
@@ -72,6 +72,20 @@
         }
     }
 
+    /// Machines were lost in one look. Most of them: this leader was away, not they. Their
+    /// workers are back once they try again, and what went to the first few to come would
+    /// fetch images that others have.
+    pub(super) fn lost_at_once(&mut self, lost: usize, now: Duration) {
+        if lost == 0 {
+            return;
+        }
+        let lives = |m: &&Machine| matches!(m.standing, Standing::Up | Standing::Leaving);
+        if lost > self.machines.values().filter(lives).count() {
+            self.next_pass = now + WORKER_RETRY * 6 / 5;
+        }
+        self.requeue();
+    }
+
     /// The cloud's list was read whole.
     pub(super) fn squares_list(&mut self, now: Duration) {
         let outputs = self.start.squaring.step(now, Input::Listed);
