Late writes: results by their own revision, claims by a mark of their own

Gone through for a transaction without an answer that is carried out 2 to 12 s later, after newer ones of the same controller. Two did not hold. Each chunk now depends on its own revision, and after an unclear answer it is read before it is written again. And a claim on an absent leader key stood when applied after another leader had come and gone; each claim now changes live/claims and depends on it. Results are marked as stored only in the chunks that were written (before: all of them, also beyond txn_ops chunks). Job moves from leader.rs to book.rs. The world gets late writes, a check that results never shrink, and variants that believe a late claim, a late renewal and a copy; all are caught. Users turn to another node after a question without an answer: by chance alone a user met the one that stands still ten times running, and a done job counted as forgotten; the check itself is as it was.

--- a/src/core/lead.rs
+++ b/src/core/lead.rs
@@ -10,12 +10,13 @@
 
 use super::{
     BACK_OFF, Node, Purpose, STATE_TIMEOUT,
-    job::{JobId, TaskSet},
+    job::JobId,
     leader::{Found, Leader},
     mirror::LeaderRecord,
+    results::Results,
     roster::ShardRecord,
     store::{
-        APART, Entry, GENERATION, LEADER, LIVE, PROGRESS, ROSTER, SETTLED, StateReply,
+        APART, CLAIMS, Entry, GENERATION, LEADER, LIVE, PROGRESS, ROSTER, SETTLED, StateReply,
         StateRequest, delete, put, put_leased, when,
     },
 };
@@ -104,9 +105,9 @@
 #[derive(Debug, Default)]
 struct TakeOver {
     started: bool,
-    progress: Option<BTreeMap<JobId, TaskSet>>,
+    progress: Option<BTreeMap<JobId, Results>>,
     roster: Option<Vec<(u32, ShardRecord, u64)>>,
-    progress_so_far: BTreeMap<JobId, TaskSet>,
+    progress_so_far: BTreeMap<JobId, Results>,
     roster_so_far: Vec<(u32, ShardRecord, u64)>,
     retry: Duration,
     in_flight: u32,
@@ -132,8 +133,8 @@
         let (id, chunk) = entry.key.strip_prefix(PROGRESS)?.split_once('/')?;
         let (id, chunk) = (JobId::parse(id)?, chunk.parse().ok()?);
         let text: String = serde_json::from_str(entry.value.get()).ok()?;
-        let set = self.progress_so_far.entry(id).or_default();
-        set.decode_chunk(chunk, &text).then_some(())
+        let results = self.progress_so_far.entry(id).or_default();
+        results.read(chunk, entry.version, &text).then_some(())
     }
 }
 
@@ -219,10 +220,14 @@
                         // answer.
                         conditions: vec![
                             when(LEADER, version),
+                            when(CLAIMS, self.mirror.claims),
                             when(GENERATION, self.mirror.cluster.1),
                             when(APART, self.mirror.apart.1),
                         ],
-                        changes: vec![put_leased(LEADER, &record, Some(lease))],
+                        changes: vec![
+                            put_leased(LEADER, &record, Some(lease)),
+                            put(CLAIMS, &self.config.node),
+                        ],
                     },
                 );
             }
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -8,13 +8,14 @@
 
 use tracing::{debug, info};
 
+pub use super::book::{Job, Slot};
 use super::{
     config::Config,
     drains::Progress,
     fleet::Fleet,
     flow::Flow,
     hints::Hints,
-    job::{JobId, JobSpec, Kind, TaskId, TaskSet},
+    job::{JobId, Kind, TaskId},
     machine::{
         Command, Machine, MachineId, MachineType, Phase, Placement, Standing, Stop, TaskPhase, Why,
         WorkerReport,
@@ -23,6 +24,7 @@
     mirror::LiveJob,
     queue::Queue,
     rent::arrivals::Arrivals,
+    results::Results,
     roster::{Roster, ShardRecord},
     squaring::Start,
     store::progress_key,
@@ -33,106 +35,6 @@
 };
 use kiteyard_recovery::verdict::Verdict;
 
-/// Where one task stands.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Slot {
-    Waiting,
-    On(MachineId),
-    Done,
-}
-
-/// An active job in the leader's book.
-#[derive(Debug)]
-pub struct Job {
-    pub spec: Arc<JobSpec>,
-    pub version: u64,
-    pub accepted_ms: u64,
-    pub slots: Vec<Slot>,
-    /// Waiting tasks, the next one last. May name tasks that wait no longer.
-    pub waiting: Vec<u32>,
-    pub placed: u32,
-    pub running: u32,
-    pub done: TaskSet,
-    pub done_count: u32,
-    pub saved: TaskSet,
-    /// Since when there are results that are not stored.
-    pub unsaved_since: Option<Duration>,
-    pub saving: bool,
-    /// Machines that the job's tasks failed on.
-    pub failed_on: BTreeSet<MachineId>,
-    pub failures: u32,
-    pub(super) failed_at: Duration,
-    /// The former leader found that it fails wherever it runs.
-    pub(super) told_faulty: bool,
-    /// Tries since the job was found to fail.
-    pub(super) probes: u32,
-    pub retry_at: Duration,
-    /// Since when it found no room with its image, see `near`.
-    pub(super) passed_over: Option<Duration>,
-    /// A gang whose last attempt was not complete in time, while images still arrive.
-    pub(super) gathers: bool,
-    /// Machines held for waiting tasks, one entry a task.
-    pub nominations: Vec<MachineId>,
-}
-
-impl Job {
-    fn new(live: &LiveJob, done: TaskSet) -> Self {
-        let spec = live.record.spec.clone();
-        let slots: Vec<Slot> = (0..spec.tasks)
-            .map(|i| match done.contains(i) {
-                true => Slot::Done,
-                false => Slot::Waiting,
-            })
-            .collect();
-        let waiting: Vec<u32> = (0..spec.tasks)
-            .rev()
-            .filter(|i| !done.contains(*i))
-            .collect();
-        Self {
-            version: live.version,
-            accepted_ms: live.record.accepted_ms,
-            done_count: spec.tasks - waiting.len() as u32,
-            slots,
-            waiting,
-            placed: 0,
-            running: 0,
-            saved: done.clone(),
-            done,
-            unsaved_since: None,
-            saving: false,
-            failed_on: BTreeSet::new(),
-            failures: 0,
-            failed_at: Duration::ZERO,
-            told_faulty: false,
-            probes: 0,
-            retry_at: Duration::ZERO,
-            passed_over: None,
-            gathers: false,
-            nominations: Vec::new(),
-            spec,
-        }
-    }
-
-    pub fn waiting_count(&self) -> u32 {
-        self.spec.tasks - self.done_count - self.placed
-    }
-
-    /// The next waiting task, left in its place.
-    pub fn next_waiting(&mut self) -> Option<u32> {
-        while let Some(&index) = self.waiting.last() {
-            if self.slots[index as usize] == Slot::Waiting {
-                return Some(index);
-            }
-            self.waiting.pop();
-        }
-        None
-    }
-
-    pub fn complete(&self) -> bool {
-        self.spec.kind != Kind::Service && self.done_count == self.spec.tasks
-    }
-}
-
 /// The picture of one leader, built at its take-over and dropped with its claim.
 pub struct Leader {
     pub config: Arc<Config>,
@@ -196,7 +98,7 @@
 /// What a take-over found in the state service.
 pub struct Found<'a> {
     pub jobs: &'a BTreeMap<JobId, LiveJob>,
-    pub progress: BTreeMap<JobId, TaskSet>,
+    pub progress: BTreeMap<JobId, Results>,
     /// The roster's shards, each with its number and revision.
     pub roster: Vec<(u32, ShardRecord, u64)>,
     /// By then every lease that a former leader kept alive is over.
@@ -341,11 +243,11 @@
         self.attempts
     }
 
-    pub fn add_job(&mut self, id: &JobId, live: &LiveJob, done: TaskSet) {
+    pub fn add_job(&mut self, id: &JobId, live: &LiveJob, saved: impl Into<Results>) {
         if self.jobs.contains_key(id) {
             return;
         }
-        let job = Job::new(live, done);
+        let job = Job::new(live, saved.into());
         self.arrivals.came(&job.spec, job.accepted_ms);
         self.queue.push(id, &job);
         self.jobs.insert(id.clone(), job);
@@ -373,7 +275,7 @@
     }
 
     /// What is stored of a job's results is of no more use.
-    fn discard_results(&mut self, id: &JobId, saved: &TaskSet) {
+    fn discard_results(&mut self, id: &JobId, saved: &Results) {
         for chunk in saved.chunks() {
             self.garbage.push(progress_key(id, chunk));
         }
--- a/src/core/mirror.rs
+++ b/src/core/mirror.rs
@@ -15,8 +15,8 @@
     machine::MachineType,
     signs::Sign,
     store::{
-        APART, DRAINS, Entry, Event, GENERATION, JOBS, LEADER, NODES, ORDERS, SETTLED, SIGN, TYPES,
-        job_key,
+        APART, CLAIMS, DRAINS, Entry, Event, GENERATION, JOBS, LEADER, NODES, ORDERS, SETTLED,
+        SIGN, TYPES, job_key,
     },
 };
 
@@ -41,6 +41,8 @@
     /// Every change up to this revision is in the copy.
     pub cursor: u64,
     pub leader: Option<(LeaderRecord, u64)>,
+    /// Revision of the last claim, whoever made it.
+    pub claims: u64,
     /// The last claim that is settled.
     pub settled: u64,
     pub types: Option<Arc<Vec<MachineType>>>,
@@ -127,6 +129,7 @@
                 self.leader = self.read(event).map(|record| (record, revision));
                 return Some(Noticed::Leader);
             }
+            CLAIMS => self.claims = if event.value.is_some() { revision } else { 0 },
             // One that can't be read leaves a claim unsettled, which is the careful side.
             SETTLED => self.settled = self.read(event).unwrap_or_default(),
             TYPES => {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -2,6 +2,7 @@
 //! answer comes out. Nothing here reads a clock or touches a socket.
 
 pub mod apart;
+pub mod book;
 pub mod commands;
 pub mod config;
 pub mod drain;
@@ -27,6 +28,7 @@
 pub mod queue;
 pub mod relay;
 mod rent;
+pub mod results;
 pub mod rollout;
 mod room;
 pub mod roster;
--- a/src/core/saves.rs
+++ b/src/core/saves.rs
@@ -33,6 +33,13 @@
         claim: u64,
         id: JobId,
         set: TaskSet,
+        chunks: Vec<u32>,
+    },
+    /// Reads results of a job again whose write was not answered.
+    RereadProgress {
+        claim: u64,
+        id: JobId,
+        chunk: u32,
     },
     Finish {
         claim: u64,
@@ -79,7 +86,7 @@
     /// Stores the results of the job whose oldest one came first, if that was before.
     fn progress_save(&mut self, before: Duration, most: usize) -> Option<Write> {
         let claim = self.claim;
-        let waits = |job: &Job| !job.saving && !job.complete();
+        let waits = |job: &Job| !job.saving && !job.complete() && job.saved.unsure().is_none();
         let (id, job) = self
             .jobs
             .iter_mut()
@@ -88,15 +95,66 @@
         job.saving = true;
         job.unsaved_since = None;
         let set = job.done.clone();
-        let changes = set
-            .chunks_beyond(&job.saved)
-            .into_iter()
-            .take(most)
-            .map(|chunk| put(progress_key(id, chunk), &set.encode_chunk(chunk)))
-            .collect();
-        let conditions = vec![when(job_key(id), job.version)];
-        let id = id.clone();
-        Some((Save::Progress { claim, id, set }, conditions, changes))
+        let mut chunks = set.chunks_beyond(job.saved.stored());
+        chunks.truncate(most);
+        let mut conditions = vec![when(job_key(id), job.version)];
+        let mut changes = Vec::new();
+        for chunk in &chunks {
+            let key = progress_key(id, *chunk);
+            conditions.push(when(&key, job.saved.version(*chunk)));
+            changes.push(put(key, &set.encode_chunk(*chunk)));
+        }
+        let save = Save::Progress {
+            claim,
+            id: id.clone(),
+            set,
+            chunks,
+        };
+        Some((save, conditions, changes))
+    }
+
+    /// What came of a write of results.
+    fn progress_saved(
+        &mut self,
+        id: &JobId,
+        set: &TaskSet,
+        chunks: &[u32],
+        reply: &StateReply,
+        now: Duration,
+    ) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        job.saving = false;
+        match reply {
+            StateReply::Committed { revision } => job.saved.written(set, chunks, *revision),
+            // It changed nothing and never will.
+            StateReply::Refused { .. } => {}
+            _ => job.saved.unclear(chunks),
+        }
+        if !job.done.chunks_beyond(job.saved.stored()).is_empty() {
+            job.unsaved_since.get_or_insert(now);
+        }
+    }
+
+    /// What is stored of a job's results, as read after an unclear write; false where that
+    /// is still not known.
+    fn progress_reread(&mut self, id: &JobId, chunk: u32, reply: &StateReply) -> bool {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return true;
+        };
+        job.saving = false;
+        match reply {
+            StateReply::Missing => {
+                job.saved.missing(chunk);
+                true
+            }
+            StateReply::Entry(entry) => {
+                let text: Option<String> = serde_json::from_str(entry.value.get()).ok();
+                text.is_some_and(|text| job.saved.read(chunk, entry.version, &text))
+            }
+            _ => false,
+        }
     }
 }
 
@@ -151,7 +209,10 @@
                 return;
             }
             let Some(claim) = self.claim() else { return };
-            if self.reread_shard(claim) || self.read_range_to_write(now, claim) {
+            if self.reread_shard(claim)
+                || self.reread_progress(claim)
+                || self.read_range_to_write(now, claim)
+            {
                 continue;
             }
             let Some((save, mut conditions, changes)) = self.next_save(now) else {
@@ -181,6 +242,30 @@
         true
     }
 
+    /// Reads results again whose write was not answered. An end of the job stores what
+    /// matters and takes them away, so it does not wait for that.
+    fn reread_progress(&mut self, claim: u64) -> bool {
+        let Some(leader) = self.leader.as_mut() else {
+            return false;
+        };
+        let mut jobs = leader.jobs.iter_mut();
+        let open = |job: &Job| !job.saving && !job.complete() && job.saved.unsure().is_some();
+        let unsure = jobs.find(|(_, job)| open(job));
+        let Some((id, job)) = unsure else {
+            return false;
+        };
+        let Some(chunk) = job.saved.unsure() else {
+            return false;
+        };
+        job.saving = true;
+        let id = id.clone();
+        let key = progress_key(&id, chunk);
+        self.saves.in_flight += 1;
+        let save = Purpose::Save(Save::RereadProgress { claim, id, chunk });
+        self.call(save, StateRequest::Get { key });
+        true
+    }
+
     /// The job whose end is to be stored next, of those whose range may be written.
     fn complete_job(&self, now: Duration) -> Option<&JobId> {
         let packed = self.packs();
@@ -333,6 +418,7 @@
             Save::Roster { claim, .. }
             | Save::Reread { claim, .. }
             | Save::Progress { claim, .. }
+            | Save::RereadProgress { claim, .. }
             | Save::Finish { claim, .. }
             | Save::ReadRange { claim, .. }
             | Save::Collect { claim, .. } => *claim,
@@ -352,14 +438,12 @@
                 };
                 leader.roster.reread(shard, version);
             }
-            Save::Progress { id, set, .. } => {
-                if let Some(job) = leader.jobs.get_mut(&id) {
-                    job.saving = false;
-                    if committed {
-                        job.saved = set;
-                    } else {
-                        job.unsaved_since.get_or_insert(now);
-                    }
+            Save::Progress {
+                id, set, chunks, ..
+            } => leader.progress_saved(&id, &set, &chunks, &reply, now),
+            Save::RereadProgress { id, chunk, .. } => {
+                if !leader.progress_reread(&id, chunk, &reply) {
+                    self.saves.retry = now + BACK_OFF;
                 }
             }
             Save::Finish { ended, keys, .. } => {
--- a/src/core/store.rs
+++ b/src/core/store.rs
@@ -10,6 +10,9 @@
 /// Everything a follower has to keep in sight: the leader, machine types and active jobs.
 pub const LIVE: &str = "live/";
 pub const LEADER: &str = "live/leader";
+/// Changed by each claim, and by nothing else: the leader key comes and goes, so its absence
+/// alone does not tell a claim that is applied late that others have led meanwhile.
+pub const CLAIMS: &str = "live/claims";
 /// The last claim whose holder knows that whoever led before has stopped acting.
 pub const SETTLED: &str = "live/settled";
 pub const TYPES: &str = "live/types";
--- a/src/core/watching.rs
+++ b/src/core/watching.rs
@@ -2,8 +2,9 @@
 
 use super::{
     BACK_OFF, Node, Purpose, WATCH_WAIT,
-    job::{self, JobId},
+    job::JobId,
     mirror::{Mirror, Noticed},
+    results::Results,
     store::{LIVE, StateReply, StateRequest},
 };
 
@@ -112,7 +113,7 @@
     pub(super) fn job_added(&mut self, id: &JobId) {
         self.saves.charge(1.0);
         if let (Some(leader), Some(job)) = (&mut self.leader, self.mirror.jobs.get(id)) {
-            leader.add_job(id, job, job::TaskSet::default());
+            leader.add_job(id, job, Results::default());
         }
     }
 }
--- a/tests/scheduling/main.rs
+++ b/tests/scheduling/main.rs
@@ -352,12 +352,10 @@
             .iter()
             .any(|command| matches!(command, Command::Forget { .. }))
     );
-    c.leader
-        .jobs
-        .get_mut(&job)
-        .expect("the job")
-        .saved
-        .insert(0);
+    let mut first = TaskSet::default();
+    first.insert(0);
+    let held = c.leader.jobs.get_mut(&job).expect("the job");
+    held.saved.written(&first, &[0], 1);
     assert!(
         c.report("vm-1")
             .iter()
--- a/tests/world/between.rs
+++ b/tests/world/between.rs
@@ -6,7 +6,7 @@
 use kiteyard::core::{Input, fleet::CloudRequest, machine::WorkerReport, store::StateRequest};
 use rand::RngExt;
 
-use crate::sim::{Event, NODES, World, ms};
+use crate::sim::{Event, NODES, Sabotage, World, ms};
 
 #[derive(Default)]
 pub struct Between {
@@ -59,7 +59,10 @@
     }
 
     pub fn copy_report(&mut self, report: &WorkerReport) {
-        let report = report.clone();
+        let mut report = report.clone();
+        if self.sabotage == Sabotage::BelievesCopies {
+            report.seq += 20;
+        }
         self.again(|request| Input::Report { request, report });
     }
 
--- a/tests/world/cases.rs
+++ b/tests/world/cases.rs
@@ -26,6 +26,8 @@
     Roll,
     /// A zone is cut off from everything, its node from the state service as well.
     ZoneCut,
+    /// The leader's zone is cut off from everything.
+    LeaderZoneCut,
     /// A fifth of the machines hang and go on within their lease.
     Hang,
     /// The leader's process ends.
@@ -50,6 +52,8 @@
     Gap,
     /// The same, and it goes away just when another node has claimed.
     GapAfterClaim,
+    /// A part of all transactions gets no answer and is carried out later, after newer ones.
+    LateWrites,
     /// The leader's own watch tells nothing while users cancel.
     SilentWatch,
     /// A node that does not lead is started again from the old build.
@@ -111,6 +115,7 @@
                 }
             }
             Case::ZoneCut => self.zone_off((leader + 1) % NODES, until),
+            Case::LeaderZoneCut => self.zone_off(leader, until),
             Case::Hang => {
                 for worker in self.workers.values_mut().step_by(5) {
                     worker.hung_until = until;
@@ -146,6 +151,7 @@
                 self.node_apart(leader, until);
                 self.node_apart((leader + 1) % NODES, until);
             }
+            Case::LateWrites => self.late_writes(until),
             Case::Gap => self.gap(leader, lasts),
             Case::GapAfterClaim => self.gap_after_claim(leader, lasts),
             Case::SilentWatch => self.silent_watch(leader, lasts),
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -6,6 +6,7 @@
 mod cases;
 mod draining;
 mod gap;
+mod late;
 mod meetings;
 mod observer;
 mod rolling;
--- a/tests/world/meetings.rs
+++ b/tests/world/meetings.rs
@@ -1,18 +1,36 @@
 //! Where two troubles meet: each meeting brought about on purpose.
 
-use std::time::Duration;
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
 
-use kiteyard::core::store::{Change, LEADER, StateReply, StateRequest};
+use kiteyard::core::{
+    job::TaskSet,
+    store::{Change, LEADER, PROGRESS, StateReply, StateRequest},
+};
 use rand::RngExt;
 
 use crate::sim::{Event, NODES, Sabotage, World, ms};
 
+fn claims(change: &Change) -> bool {
+    matches!(change, Change::Put { key, .. } if key == LEADER)
+}
+
 #[derive(Default)]
 pub struct Meetings {
+    /// What is stored of results, by key.
+    progress: BTreeMap<String, TaskSet>,
     /// Watches of these nodes that wait get no answer until then.
     silent: [Duration; NODES],
     /// Users don't ask these nodes until then.
     avoided: [Duration; NODES],
+    /// Until then a part of all transactions gets no answer and is carried out later.
+    late_until: Duration,
+    /// Every claim that a node sent, as it was sent.
+    claims: Vec<StateRequest>,
+    /// Users whose last question was not answered yet, and the node that was asked.
+    pub unanswered: HashMap<usize, usize>,
     /// With the next claim the state service goes away for so long.
     away_with_claim: Option<Duration>,
 }
@@ -45,15 +63,82 @@
         self.withdraw_services(leader, ms(500));
     }
 
-    /// A node that users ask.
-    pub fn asked_node(&mut self) -> usize {
-        let node = self.rng.random_range(0..NODES);
+    /// A node that this user asks: the next one after one that left a question unanswered, as
+    /// a load balancer would see to. At random, a user met a node that stands still ten times
+    /// in a row now and then, and its job looked forgotten.
+    pub fn asked_node(&mut self, user: usize) -> usize {
+        let any = self.rng.random_range(0..NODES);
+        let silent = self.meetings.unanswered.get(&user);
+        let node = silent.map_or(any, |node| (node + 1) % NODES);
         match self.meetings.avoided[node] > self.now {
             true => (node + 1) % NODES,
             false => node,
         }
     }
 
+    /// When a request that gets no answer is carried out, if it is one of those.
+    pub fn carried_out_late(&mut self, request: &StateRequest) -> Option<Duration> {
+        let StateRequest::Txn { changes, .. } = request else {
+            return None;
+        };
+        if changes.iter().any(claims) {
+            self.meetings.claims.push(request.clone());
+        }
+        let late = self.now < self.meetings.late_until && self.rng.random_range(0..4) == 0;
+        late.then(|| self.now + ms(self.rng.random_range(2_000..12_000)))
+    }
+
+    pub fn late_writes(&mut self, until: Duration) {
+        self.meetings.late_until = until;
+    }
+
+    /// Every claim that was ever sent comes once more, late, while nobody leads.
+    pub fn late_claims_stand(&mut self) -> bool {
+        let vacate = StateRequest::Txn {
+            conditions: Vec::new(),
+            changes: vec![Change::Delete {
+                key: LEADER.to_owned(),
+            }],
+        };
+        self.state.call(self.now, &vacate);
+        // Their leases would have to be there still, too.
+        self.state.keep_leases();
+        let sent = std::mem::take(&mut self.meetings.claims);
+        let mut stand = false;
+        for claim in sent {
+            let claim = self.tampered(claim);
+            stand |= matches!(
+                self.state.call(self.now, &claim),
+                Some(StateReply::Committed { .. })
+            );
+        }
+        stand
+    }
+
+    /// What is stored of a job's results never shrinks while the job is there.
+    pub fn look_at_progress(&mut self, request: &StateRequest) {
+        let StateRequest::Txn { changes, .. } = request else {
+            return;
+        };
+        for change in changes {
+            if let Change::Put { key, value, .. } = change
+                && let Some((id, chunk)) =
+                    key.strip_prefix(PROGRESS).and_then(|k| k.split_once('/'))
+            {
+                let chunk = chunk.parse().expect("the number of a chunk");
+                let text: String = serde_json::from_str(value.get()).expect("a stored set");
+                let mut set = TaskSet::default();
+                assert!(set.decode_chunk(chunk, &text), "a stored set");
+                let before = self.meetings.progress.insert(key.clone(), set.clone());
+                let lost = before.is_some_and(|before| !before.chunks_beyond(&set).is_empty());
+                if lost {
+                    let what = format!("what is stored of {id}");
+                    self.observer.breaks(self.now, "shrank", what);
+                }
+            }
+        }
+    }
+
     /// Whether a watch that does not wait is taken for a proof without what it brings.
     pub fn believes(&mut self, node: usize, sabotage: Sabotage) -> bool {
         match sabotage {
@@ -71,7 +156,9 @@
 
     /// What a committed request brings about.
     pub fn look_at_commit(&mut self, request: &StateRequest, reply: Option<&StateReply>) {
-        let claims = |c: &Change| matches!(c, Change::Put { key, .. } if key == LEADER);
+        if let Some(StateReply::Committed { .. }) = reply {
+            self.look_at_progress(request);
+        }
         if let (StateRequest::Txn { changes, .. }, Some(StateReply::Committed { .. })) =
             (request, reply)
             && changes.iter().any(claims)
--- a/tests/world/sim.rs
+++ b/tests/world/sim.rs
@@ -19,7 +19,7 @@
         },
         rollout::Ask,
         roster::ShardRecord,
-        store::{Change, Entry, StateReply, StateRequest},
+        store::{CLAIMS, Change, Entry, PROGRESS, StateReply, StateRequest},
     },
     settings::Settings,
 };
@@ -62,6 +62,14 @@
     ForgetsDrains,
     /// Questions about the first jobs are left without an answer.
     PassesOver,
+    /// Results are written whatever is stored of them.
+    ResultsByKeyAlone,
+    /// A claim looks at the leader key alone.
+    ClaimsByKeyAlone,
+    /// A renewal counts from its answer, however late that is.
+    BelievesLateRenewals,
+    /// A report that comes again is taken for a new one.
+    BelievesCopies,
     /// The leader's term grows with a renewal and the claim, whatever its copy holds.
     RenewalAlone,
 }
@@ -554,6 +562,7 @@
         config.ability.most = self.roll.most[node];
         match self.sabotage {
             Sabotage::NoWorkerLease => config.worker_lease_bound = ms(1200),
+            Sabotage::BelievesLateRenewals => config.leader_term += ms(12_000),
             Sabotage::NoTeamLimit => {
                 for team in config.teams.values_mut() {
                     team.cpus_max = 0.0;
@@ -616,7 +625,12 @@
                     now + delay
                 };
                 self.copy_state(&request);
-                self.push(at, Event::AtState(node, epoch, call, request));
+                // Nobody is told of one that is carried out late.
+                let (at, to) = match self.carried_out_late(&request) {
+                    Some(at) => (at, 0),
+                    None => (at, epoch),
+                };
+                self.push(at, Event::AtState(node, to, call, request));
                 let reply = StateReply::Unclear;
                 self.push(
                     now + timeout,
@@ -714,7 +728,7 @@
             Event::User(i) => {
                 let again = self.now + ms(self.rng.random_range(1200..4000));
                 self.push(again, Event::User(i));
-                let node = self.asked_node();
+                let node = self.asked_node(i);
                 self.user(i, node);
             }
             Event::UserAt(i, node) => self.user(i, node),
@@ -858,12 +872,20 @@
         }
     }
 
-    fn tampered(&self, mut request: StateRequest) -> StateRequest {
+    pub fn tampered(&self, mut request: StateRequest) -> StateRequest {
         if let (Sabotage::ForgetEnds, StateRequest::Txn { changes, .. }) =
             (self.sabotage, &mut request)
         {
             changes.retain(|c| !matches!(c, Change::Put { key, .. } if key.starts_with("final/")));
         }
+        let dropped = match self.sabotage {
+            Sabotage::ResultsByKeyAlone => PROGRESS,
+            Sabotage::ClaimsByKeyAlone => CLAIMS,
+            _ => return request,
+        };
+        if let StateRequest::Txn { conditions, .. } = &mut request {
+            conditions.retain(|c| !c.key.starts_with(dropped));
+        }
         request
     }
 
@@ -1399,6 +1421,7 @@
         };
         let before = self.observer.state(&self.jobs[i].spec.id);
         let epoch = self.epochs[node];
+        self.meetings.unanswered.insert(i, node);
         self.asked
             .insert((node, epoch, request), Asker::User(i, asking, before));
         let at = now + self.delay();
@@ -1421,6 +1444,7 @@
                 }
             }
             Asker::User(i, asking, before) => {
+                self.meetings.unanswered.remove(&i);
                 let spec = self.jobs[i].spec.clone();
                 let state = match &answer {
                     Answer::Accepted(_) => JobState::Pending,
--- a/tests/world/state.rs
+++ b/tests/world/state.rs
@@ -134,6 +134,15 @@
         }
     }
 
+    /// No lease ends any more.
+    #[allow(dead_code)]
+    pub fn keep_leases(&mut self) {
+        for id in 1..=self.next_lease {
+            let (ttl, ends) = (Duration::MAX, Duration::MAX);
+            self.leases.insert(id, Lease { ttl, ends });
+        }
+    }
+
     pub fn expire(&mut self, now: Duration) {
         let over: Vec<u64> = self
             .leases
