--- a/tests/world/cases.rs
+++ b/tests/world/cases.rs
@@ -54,6 +54,8 @@
     GapAfterClaim,
     /// A part of all transactions gets no answer and is carried out later, after newer ones.
     LateWrites,
+    /// Commands that go straight to workers are held up, and so are their answers.
+    HeldCommands,
     /// The leader's own watch tells nothing while users cancel.
     SilentWatch,
     /// A node that does not lead is started again from the old build.
@@ -151,6 +153,7 @@
                 self.node_apart(leader, until);
                 self.node_apart((leader + 1) % NODES, until);
             }
+            Case::HeldCommands => self.hold_commands(leader, until),
             Case::LateWrites => self.late_writes(until),
             Case::Gap => self.gap(leader, lasts),
             Case::GapAfterClaim => self.gap_after_claim(leader, lasts),
--- a/tests/world/late.rs
+++ b/tests/world/late.rs
@@ -76,3 +76,13 @@
 fn a_copy_that_is_taken_for_a_new_report_is_caught() {
     caught(Sabotage::BelievesCopies, &[(Case::Copies, 40)], "ran_twice");
 }
+
+/// A start that is held up may begin until the worker has seen a higher token or session.
+#[test]
+fn a_start_that_is_taken_to_be_void_too_early_is_caught() {
+    caught(
+        Sabotage::BelievesVoid,
+        &[(Case::HeldCommands, 40)],
+        "ran_twice",
+    );
+}
--- a/tests/world/meetings.rs
+++ b/tests/world/meetings.rs
@@ -27,6 +27,8 @@
     avoided: [Duration; NODES],
     /// Until then a part of all transactions gets no answer and is carried out later.
     late_until: Duration,
+    /// Until then a part of all direct commands and of their answers is held up.
+    held_until: Duration,
     /// Every claim that a node sent, as it was sent.
     claims: Vec<StateRequest>,
     /// Users whose last question was not answered yet, and the node that was asked.
@@ -88,6 +90,20 @@
         late.then(|| self.now + ms(self.rng.random_range(2_000..12_000)))
     }
 
+    /// How long a command that goes straight to a worker, or its answer, is held up.
+    pub fn held_up(&mut self) -> Duration {
+        let held = self.now < self.meetings.held_until && self.rng.random_range(0..3) == 0;
+        ms(held
+            .then(|| self.rng.random_range(1_500..40_000))
+            .unwrap_or(0))
+    }
+
+    /// Commands are held up while reports and their answers pass, and users cancel.
+    pub fn hold_commands(&mut self, leader: usize, until: Duration) {
+        self.meetings.held_until = until;
+        self.withdraw_services(leader, ms(2_000));
+    }
+
     pub fn late_writes(&mut self, until: Duration) {
         self.meetings.late_until = until;
     }
--- a/tests/world/sim.rs
+++ b/tests/world/sim.rs
@@ -68,6 +68,8 @@
     ClaimsByKeyAlone,
     /// A renewal counts from its answer, however late that is.
     BelievesLateRenewals,
+    /// A command that was not answered is taken to be void at once.
+    BelievesVoid,
     /// A report that comes again is taken for a new one.
     BelievesCopies,
     /// The leader's term grows with a renewal and the claim, whatever its copy holds.
@@ -95,6 +97,8 @@
     jobs: usize,
     /// How many times as large arrays are.
     tasks: u32,
+    /// How many times as long tasks run.
+    longer: u64,
     team_limit: f64,
     /// How often a worker looks at what is due.
     look: Duration,
@@ -115,6 +119,7 @@
     machines_most: 12,
     jobs: 30,
     tasks: 1,
+    longer: 1,
     team_limit: 20.0,
     look: ms(50),
     value_kb: 0.75,
@@ -138,6 +143,13 @@
     ..SMALL
 };
 
+/// Tasks that run for 12 to 46 s, so that those of one job end far apart.
+pub const LONG: Scale = Scale {
+    longer: 8,
+    tasks: 1,
+    ..MEDIUM
+};
+
 /// 1,000 machines that report as seldom as a large fleet's do.
 pub const LARGE: Scale = Scale {
     length: Duration::from_secs(75),
@@ -651,6 +663,7 @@
                 let zone = self.workers.get(&name).map(|w| w.zone);
                 match zone.and_then(|zone| self.worker_path(node, zone)) {
                     Some(at) => {
+                        let at = at + self.held_up();
                         self.push(
                             at,
                             Event::AtWorker(name, ToWorker::Do(node, epoch, call, direct)),
@@ -1074,7 +1087,7 @@
             };
             let runs_until = match spec.kind {
                 Kind::Service => self.scale.length * 2,
-                _ => now + ms(1500 + u64::from(key.0.index % 7) * 700),
+                _ => now + ms((1500 + u64::from(key.0.index % 7) * 700) * self.scale.longer),
             };
             let next = match phase {
                 TaskPhase::Fetching if now >= until => {
@@ -1094,7 +1107,10 @@
                         Some((TaskPhase::Running, runs_until))
                     }
                 }
-                TaskPhase::Waiting if whole() => Some((TaskPhase::Running, now + ms(4000))),
+                TaskPhase::Waiting if whole() => {
+                    let until = now + ms(4000) * self.scale.longer as u32;
+                    Some((TaskPhase::Running, until))
+                }
                 TaskPhase::Waiting if now >= until => {
                     // Running ones of its gang make it run too.
                     Some((TaskPhase::Exited(Why::Incomplete), now))
@@ -1147,6 +1163,7 @@
     fn report(&mut self, name: &str) -> WorkerReport {
         let now = self.now;
         let believe = self.sabotage == Sabotage::BelieveRunning;
+        let void = u64::from(self.sabotage == Sabotage::BelievesVoid) * 0xff;
         let worker = self.workers.get_mut(name).expect("known worker");
         worker.seq += 1;
         WorkerReport {
@@ -1157,7 +1174,7 @@
             spot: worker.spot,
             session: worker.session,
             seq: worker.seq,
-            token: worker.token,
+            token: worker.token | void,
             notice_s: worker.notice.map(|at| at.saturating_sub(now).as_secs_f64()),
             tasks: worker
                 .tasks
@@ -1277,6 +1294,7 @@
                     false => DirectReply::Refused(report),
                 };
                 if let Some(at) = self.worker_path(node, zone) {
+                    let at = at + self.held_up();
                     self.push(
                         at,
                         Event::ToNode(node, epoch, Input::Direct { call, reply }),
