--- a/tests/world/meetings.rs
+++ b/tests/world/meetings.rs
@@ -92,10 +92,10 @@
 
     /// How long a command that goes straight to a worker, or its answer, is held up.
     pub fn held_up(&mut self) -> Duration {
-        let held = self.now < self.meetings.held_until && self.rng.random_range(0..3) == 0;
-        ms(held
-            .then(|| self.rng.random_range(1_500..40_000))
-            .unwrap_or(0))
+        match self.now < self.meetings.held_until && self.rng.random_range(0..3) == 0 {
+            true => ms(self.rng.random_range(1_500..40_000)),
+            false => Duration::ZERO,
+        }
     }
 
     /// Commands are held up while reports and their answers pass, and users cancel.
