World: the simulation's one file becomes modules with one job each

Nodes and events, network, state service, cloud, workers, users, random troubles, scale, settings and unsafe variants are modules of their own now; no behaviour changed.

--- /dev/null
+++ b/tests/world/sim/cloud.rs
@@ -0,0 +1,105 @@
+//! The cloud: types, the list of machines, rentals and returns.
+
+use std::{sync::Arc, time::Duration};
+
+use kiteyard::core::{
+    fleet::{CloudReply, CloudRequest},
+    job::Resources,
+    machine::{ListedMachine, ListedState, MachineType},
+};
+use rand::RngExt;
+
+use super::{CPUS, Event, World, ZONES, ms};
+
+impl World {
+    pub(super) fn cloud(&mut self, request: CloudRequest) -> CloudReply {
+        if self.now < self.cloud_away {
+            return CloudReply::Refused;
+        }
+        match request {
+            CloudRequest::Types => CloudReply::Types(vec![MachineType {
+                name: Arc::from("m"),
+                size: Resources {
+                    cpus: CPUS,
+                    gpus: 0.0,
+                    memory_gb: 64.0,
+                },
+                cache_gb: 5.0,
+                fetch_gb_per_s: 1.0,
+                price: 1.0,
+                spot_price: 0.4,
+                boot_s: 4.0,
+                zones: ZONES.iter().map(|z| Arc::from(*z)).collect(),
+            }]),
+            CloudRequest::List { .. } => {
+                let listed = |id: &String, zone: usize, spot: bool, state| ListedMachine {
+                    id: Arc::from(id.as_str()),
+                    machine_type: Arc::from("m"),
+                    zone: Arc::from(ZONES[zone]),
+                    spot,
+                    state,
+                    age: ms(5000),
+                };
+                let mut machines: Vec<ListedMachine> = self
+                    .workers
+                    .iter()
+                    .map(|(id, w)| listed(id, w.zone, w.spot, ListedState::Running))
+                    .collect();
+                let booting = self.booting.iter();
+                machines.extend(booting.map(|(id, b)| listed(id, b.0, b.1, ListedState::Booting)));
+                CloudReply::Machines {
+                    machines,
+                    more: false,
+                }
+            }
+            CloudRequest::Rent(rental) => {
+                if let Some(names) = self.rentals.get(&rental.request) {
+                    return CloudReply::Rented(names.clone());
+                }
+                let zone = ZONES
+                    .iter()
+                    .position(|z| **z == *rental.zone)
+                    .expect("a zone");
+                let mut names = Vec::new();
+                for _ in 0..rental.count {
+                    if self.workers.len() + self.booting.len() < self.scale.machines_most {
+                        let boot = ms(self.rng.random_range(500..6_000));
+                        names.push(Arc::from(self.rent(zone, rental.spot, boot)));
+                    }
+                }
+                if names.is_empty() {
+                    return CloudReply::NoCapacity;
+                }
+                self.rentals.insert(rental.request, names.clone());
+                CloudReply::Rented(names)
+            }
+            CloudRequest::Release { machines } => {
+                for id in machines {
+                    self.look_at_return(&id);
+                    self.booting.remove(&*id);
+                    self.remove_worker(&id);
+                }
+                CloudReply::Released
+            }
+        }
+    }
+
+    pub(super) fn rent(&mut self, zone: usize, spot: bool, boot: Duration) -> String {
+        self.next_machine += 1;
+        let name = format!("vm-{:06}", self.next_machine);
+        self.booting
+            .insert(name.clone(), (zone, spot, self.now + boot));
+        self.push(self.now + boot, Event::WorkerTick(name.clone()));
+        name
+    }
+
+    pub(super) fn remove_worker(&mut self, name: &str) {
+        if let Some(worker) = self.workers.remove(name) {
+            for ((task, _), t) in worker.tasks {
+                if t.phase.on_machine() {
+                    self.observer.gone(&task, name, false);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/world/sim/config.rs
@@ -0,0 +1,27 @@
+//! The settings that the nodes of a world are started with.
+
+use kiteyard::settings::Settings;
+
+use super::{NODES, Scale, WALL_MOST, ZONES};
+
+pub(super) fn settings(node: usize, scale: &Scale) -> Settings {
+    let peers: Vec<_> = (0..NODES)
+        .filter(|n| *n != node)
+        .map(|n| serde_json::json!({"label": format!("n{n}"), "site": ZONES[n], "peer_addr": "127.0.0.1:1"}))
+        .collect();
+    let text = serde_json::json!({
+        "label": format!("n{node}"), "site": ZONES[node],
+        "api_addr": "127.0.0.1:1", "cluster_listen": "127.0.0.1:2", "known": peers,
+        "outside": {"cloud": "127.0.0.1:3", "state": "127.0.0.1:4"},
+        "params": {
+            "zones": ZONES,
+            "teams": [{"name": "red", "cpus": 8.0, "cpus_max": scale.team_limit}, {"name": "blue"}],
+            "workers": {"report_s": scale.report.as_secs_f64(), "lease_s": scale.lease.as_secs_f64(),
+                "gang_wait_s": scale.gang_wait.as_secs_f64(), "gang_peer_s": 3.0, "cancel_s": scale.cancel.as_secs_f64()},
+            "state": {"rps": 200.0, "write_rps": 100.0, "value_kb": scale.value_kb, "txn_ops": 16},
+            "cloud": {"rps": 10.0, "list_lag_s": 3.0},
+            "resources": {"sockets": 500}, "time_bound_ms": WALL_MOST as f64 / 2.0
+        }
+    });
+    Settings::parse(&text.to_string()).expect("good settings")
+}
--- /dev/null
+++ b/tests/world/sim/mod.rs
@@ -0,0 +1,468 @@
+//! The simulated world around the cores: time, events and the nodes' processes.
+
+mod cloud;
+mod config;
+mod network;
+mod random_troubles;
+mod sabotage;
+mod scale;
+mod state_service;
+mod users;
+mod workers;
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    sync::Arc,
+    time::Duration,
+};
+
+use kiteyard::core::{
+    Answer, CallId, Clock, Input, Node, Output, RequestId,
+    config::{Config, Options},
+    fleet::{CloudReply, CloudRequest},
+    job::{JobState, TaskId},
+    machine::DirectReply,
+    rollout::Ask,
+    store::{StateReply, StateRequest},
+};
+use kiteyard_rollout::generation::Order;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+use crate::{
+    between::Between, cases::Case, meetings::Meetings, observer::Observer, rollout::Roll,
+    state::State,
+};
+
+pub use network::Cut;
+pub use sabotage::Sabotage;
+pub use scale::{LARGE, LICENSED, LONG, MEDIUM, SMALL, Scale};
+pub use workers::{ToWorker, Worker};
+
+use config::settings;
+use users::{Asking, Job};
+
+pub const NODES: usize = 3;
+pub const ZONES: [&str; 3] = ["a", "b", "c"];
+const CPUS: f64 = 8.0;
+/// Times of day differ by up to this between nodes, in milliseconds, by steps of the other.
+const WALL_MOST: u64 = 450;
+const WALL_OFF: u64 = 200;
+
+pub const fn ms(value: u64) -> Duration {
+    Duration::from_millis(value)
+}
+
+#[derive(Debug)]
+pub enum Event {
+    Tick(usize),
+    ToNode(usize, u64, Input),
+    AtState(usize, u64, CallId, StateRequest),
+    AtCloud(usize, u64, CallId, CloudRequest),
+    AtWorker(String, ToWorker),
+    WorkerTick(String),
+    Answered(usize, u64, RequestId, Answer),
+    User(usize),
+    /// The same, at this node.
+    UserAt(usize, usize),
+    Trouble,
+    Restart(usize),
+    /// A line between nodes, for whatever process is there by then.
+    Line(usize, Input),
+    /// What a process had decided when it was stopped goes out now.
+    Outputs(usize, u64, Vec<Output>),
+    OutageBegins,
+    OutageEnds,
+    Crash(usize),
+    Bring(Case, Duration),
+    /// The node's process ends and comes back with that ability.
+    Upgrade(usize, u32),
+    Order(Order),
+    /// The node's process ends, and nobody starts it again.
+    End(usize),
+    /// It ends, and comes back of a build from before generations.
+    Older(usize),
+    /// The leader is asked to hand over.
+    StepDown,
+    /// These machines are to be emptied; asked for until it is accepted.
+    Drain(Vec<String>),
+}
+
+enum Asker {
+    Worker(String, u64),
+    User(usize, Asking, Option<JobState>),
+}
+
+pub struct World {
+    scale: Scale,
+    pub now: Duration,
+    pub rng: StdRng,
+    pub sabotage: Sabotage,
+    events: BTreeMap<(Duration, u64), Event>,
+    next_event: u64,
+    pub steps: u64,
+    pub nodes: Vec<Option<Node>>,
+    pub epochs: Vec<u64>,
+    /// In how many milliseconds a process that ended is back.
+    back: std::ops::Range<u64>,
+    started: Vec<Duration>,
+    paces: Vec<f64>,
+    asked: HashMap<(usize, u64, RequestId), Asker>,
+    pub next_request: RequestId,
+    pub state: State,
+    watches: Vec<(usize, u64, CallId, StateRequest, Duration)>,
+    pub outage: bool,
+    pub refused: Vec<Duration>,
+    /// Nodes refuse one another's connections until then.
+    pub peers_apart: Duration,
+    /// The state service answers slowly until then.
+    pub slow_until: Duration,
+    /// Nothing from these nodes gets to the state service, until when.
+    pub unreached: Vec<Duration>,
+    /// These nodes stand still, until when; the next step of one ends there.
+    frozen: Vec<Duration>,
+    pub freezes: Vec<Option<Duration>>,
+    /// No worker reaches these nodes, nor they any worker, until when.
+    pub workers_apart: Vec<Duration>,
+    cloud_away: Duration,
+    pub workers: BTreeMap<String, Worker>,
+    booting: BTreeMap<String, (usize, bool, Duration)>,
+    rentals: HashMap<String, Vec<Arc<str>>>,
+    next_machine: u64,
+    jobs: Vec<Job>,
+    results: BTreeSet<TaskId>,
+    pub cuts: Vec<Cut>,
+    pub observer: Observer,
+    pub roll: Roll,
+    pub between: Between,
+    pub meetings: Meetings,
+}
+
+impl World {
+    pub fn new(seed: u64, sabotage: Sabotage) -> Self {
+        Self::sized(SMALL, seed, sabotage)
+    }
+
+    pub fn sized(scale: Scale, seed: u64, sabotage: Sabotage) -> Self {
+        let mut world = Self {
+            scale,
+            now: Duration::ZERO,
+            rng: StdRng::seed_from_u64(seed),
+            sabotage,
+            events: BTreeMap::new(),
+            next_event: 0,
+            steps: 0,
+            nodes: (0..NODES).map(|_| None).collect(),
+            epochs: vec![0; NODES],
+            back: 1500..5000,
+            started: vec![Duration::ZERO; NODES],
+            paces: vec![1.0; NODES],
+            asked: HashMap::new(),
+            next_request: 0,
+            state: State::default(),
+            watches: Vec::new(),
+            outage: false,
+            refused: vec![Duration::ZERO; NODES],
+            peers_apart: Duration::ZERO,
+            slow_until: Duration::ZERO,
+            unreached: vec![Duration::ZERO; NODES],
+            frozen: vec![Duration::ZERO; NODES],
+            freezes: vec![None; NODES],
+            workers_apart: vec![Duration::ZERO; NODES],
+            cloud_away: Duration::ZERO,
+            workers: BTreeMap::new(),
+            booting: BTreeMap::new(),
+            rentals: HashMap::new(),
+            next_machine: 0,
+            jobs: Vec::new(),
+            results: BTreeSet::new(),
+            cuts: Vec::new(),
+            roll: Roll::default(),
+            between: Between::default(),
+            meetings: Meetings::default(),
+            observer: Observer::new(scale.cancel, "red", scale.team_limit, scale.seats),
+        };
+        for node in 0..NODES {
+            world.restart(node);
+        }
+        for i in 0..scale.machines {
+            world.rent(i % 3, false, ms(1));
+        }
+        for i in 0..scale.jobs {
+            let job = world.make_job(i);
+            world.jobs.push(job);
+            let at = ms(world
+                .rng
+                .random_range(100..scale.length.as_millis() as u64 * 11 / 15));
+            world.push(at, Event::User(i));
+        }
+        if sabotage == Sabotage::VacatesEarly {
+            for at in [20_000, 55_000, 90_000] {
+                world = world.with(at, Case::VacatedEarly, Duration::from_secs(15));
+            }
+        }
+        for _ in 0..scale.troubles {
+            let at = ms(world.rng.random_range(8_000..120_000));
+            world.push(at, Event::Trouble);
+        }
+        world
+    }
+
+    /// Processes that end are back within a fraction of a second.
+    pub fn quick(mut self) -> Self {
+        self.back = 0..500;
+        self
+    }
+
+    /// Brings about a case at a time.
+    pub fn with(mut self, at: u64, case: Case, lasts: Duration) -> Self {
+        self.push(ms(at), Event::Bring(case, lasts));
+        self
+    }
+
+    pub fn run(&mut self) {
+        while let Some((&key, _)) = self.events.first_key_value() {
+            if key.0 > self.scale.length {
+                break;
+            }
+            let event = self.events.remove(&key).expect("just seen");
+            self.now = key.0;
+            self.steps += 1;
+            self.handle(event);
+        }
+    }
+
+    pub fn push(&mut self, at: Duration, event: Event) {
+        self.next_event += 1;
+        self.events
+            .insert((at.max(self.now), self.next_event), event);
+    }
+
+    pub fn restart(&mut self, node: usize) {
+        let settings = settings(node, &self.scale);
+        let more = u32::from(self.sabotage == Sabotage::MoreSeats);
+        let seats = self.scale.seats * (1 + more);
+        let file = format!("[licence.solver]\nseats = {seats}\n");
+        let licences = kiteyard_licences::config::Config::parse(&file).expect("a good file");
+        let options = Options {
+            licences: (seats > 0).then(|| Arc::new(licences)),
+            rollout: self.roll.config.clone(),
+            maintenance: self.roll.maintenance.clone(),
+            incarnation: self.epochs[node] as u32 + 1,
+            ..Options::default()
+        };
+        let mut config = Config::new(&settings, options);
+        config.ability.most = self.roll.most[node];
+        match self.sabotage {
+            Sabotage::NoWorkerLease => config.worker_lease_bound = ms(1200),
+            Sabotage::BelievesLateRenewals => config.leader_term += ms(12_000),
+            Sabotage::NoTeamLimit => {
+                for team in config.teams.values_mut() {
+                    team.cpus_max = 0.0;
+                }
+            }
+            _ => {}
+        }
+        self.nodes[node] = Some(Node::new(config));
+        self.frozen[node] = Duration::ZERO;
+        self.freezes[node] = None;
+        self.epochs[node] += 1;
+        self.started[node] = self.now;
+        self.paces[node] = 1.0 + self.rng.random_range(0..5) as f64 * 1e-4;
+        self.push(self.now, Event::Tick(node));
+    }
+
+    pub fn step(&mut self, node: usize, input: Input) {
+        let passed = (self.now - self.started[node]).mul_f64(self.paces[node]);
+        let epoch = self.epochs[node];
+        let clock = Clock {
+            now: passed,
+            wall_ms: self.now.as_millis() as u64 + WALL_OFF * (node as u64 + epoch) % WALL_MOST,
+        };
+        let Some(core) = &mut self.nodes[node] else {
+            return;
+        };
+        let outputs = core.step(clock, input);
+        if let Some(freeze) = self.freezes[node].take_if(|_| !outputs.is_empty()) {
+            // It stops after it has decided, and goes on as if nothing had happened.
+            let until = self.now + freeze;
+            self.frozen[node] = until;
+            self.push(until, Event::Outputs(node, epoch, outputs));
+            return;
+        }
+        for output in outputs {
+            self.output(node, epoch, output);
+        }
+    }
+
+    fn output(&mut self, node: usize, epoch: u64, output: Output) {
+        self.look_at_output(&output);
+        let delay = self.delay();
+        let now = self.now;
+        match output {
+            Output::Answer { request, answer } => {
+                self.push(now + delay, Event::Answered(node, epoch, request, answer));
+            }
+            Output::State {
+                call,
+                request,
+                timeout,
+            } => {
+                // Now and then a request is applied long after it was given up.
+                let late = self.rng.random_range(0..300) == 0;
+                let at = if let Some(held) = self.held_back(&request) {
+                    now + held
+                } else if late {
+                    now + delay + ms(4000)
+                } else {
+                    now + delay
+                };
+                self.copy_state(&request);
+                // Nobody is told of one that is carried out late.
+                let (at, to) = match self.carried_out_late(&request) {
+                    Some(at) => (at, 0),
+                    None => (at, epoch),
+                };
+                self.push(at, Event::AtState(node, to, call, request));
+                let reply = StateReply::Unclear;
+                self.push(
+                    now + timeout,
+                    Event::ToNode(node, epoch, Input::State { call, reply }),
+                );
+            }
+            Output::Cloud { call, request } => {
+                self.copy_cloud(&request);
+                self.push(now + delay, Event::AtCloud(node, epoch, call, request));
+                let reply = CloudReply::Unclear;
+                let at = now + Duration::from_secs(5);
+                self.push(at, Event::ToNode(node, epoch, Input::Cloud { call, reply }));
+            }
+            Output::Direct { call, direct } => {
+                let reply = DirectReply::Unclear;
+                let failed = Event::ToNode(node, epoch, Input::Direct { call, reply });
+                let name = direct.machine.to_string();
+                let zone = self.workers.get(&name).map(|w| w.zone);
+                match zone.and_then(|zone| self.worker_path(node, zone)) {
+                    Some(at) => {
+                        let at = at + self.held_up();
+                        self.push(
+                            at,
+                            Event::AtWorker(name, ToWorker::Do(node, epoch, call, direct)),
+                        );
+                        self.push(now + Duration::from_secs(1), failed);
+                    }
+                    None => self.push(now + delay, failed),
+                }
+            }
+            Output::Peer { to, message } => {
+                let message = self.tampered_line(node, message);
+                let to: usize = to[1..].parse().expect("a node's name");
+                if self.now >= self.peers_apart
+                    && !self.loses_peers(node, to)
+                    && let Some(at) = self.path(node, to)
+                {
+                    let from = format!("n{node}");
+                    let input = Input::Peer { from, message };
+                    self.push(at, Event::Line(to, input));
+                }
+            }
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        if let Event::Tick(node) | Event::ToNode(node, ..) | Event::Line(node, _) = event
+            && self.frozen[node] > self.now
+        {
+            self.push(self.frozen[node], event);
+            return;
+        }
+        match event {
+            Event::Outputs(node, epoch, outputs) => {
+                for output in outputs {
+                    // Users have given up by now; workers decide for themselves.
+                    let gone = |a: &Asker| matches!(a, Asker::User(..));
+                    if let Output::Answer { request, .. } = &output
+                        && self.asked.get(&(node, epoch, *request)).is_some_and(gone)
+                    {
+                        continue;
+                    }
+                    if self.epochs[node] == epoch {
+                        self.output(node, epoch, output);
+                    }
+                }
+            }
+            Event::Tick(node) => {
+                if self.nodes[node].is_some() {
+                    self.step(node, Input::Tick);
+                    self.push(self.now + ms(50), Event::Tick(node));
+                }
+                self.observer.tick(self.now);
+                self.look_for_lost();
+                self.look_at_placement();
+            }
+            Event::ToNode(node, epoch, input) => {
+                if self.epochs[node] == epoch {
+                    self.step(node, input);
+                }
+            }
+            Event::Line(node, input) => self.step(node, input),
+            Event::AtState(node, epoch, call, request) => self.at_state(node, epoch, call, request),
+            Event::AtCloud(node, epoch, call, request) => {
+                let reply = self.cloud(request);
+                let at = self.now + self.delay() + ms(100);
+                self.push(at, Event::ToNode(node, epoch, Input::Cloud { call, reply }));
+            }
+            Event::AtWorker(name, message) => self.at_worker(name, message),
+            Event::WorkerTick(name) => self.worker_tick(&name),
+            Event::Answered(node, epoch, request, answer) => {
+                if let Some(asker) = self.asked.remove(&(node, epoch, request)) {
+                    self.answered(node, asker, answer);
+                }
+            }
+            Event::User(i) => {
+                let again = self.now + ms(self.rng.random_range(1200..4000));
+                self.push(again, Event::User(i));
+                let node = self.asked_node(i);
+                self.user(i, node);
+            }
+            Event::UserAt(i, node) => self.user(i, node),
+            Event::Trouble => self.trouble(),
+            Event::Restart(node) => self.restart(node),
+            Event::Crash(node) => self.crash(node),
+            Event::Bring(case, lasts) => self.bring(case, lasts),
+            Event::Upgrade(node, most) => {
+                self.roll.most[node] = most;
+                self.crash(node);
+            }
+            Event::Order(order) => self.order(order),
+            Event::End(node) => {
+                self.nodes[node] = None;
+                self.epochs[node] += 1;
+            }
+            Event::Older(node) => {
+                self.roll.before[node] = true;
+                self.roll.most[node] = 1;
+                self.crash(node);
+            }
+            Event::Drain(machines) => self.drain(machines),
+            Event::StepDown => {
+                let node = self.leading();
+                self.roll.asked = Some(node);
+                let (request, ask) = (u64::MAX, Ask::StepDown);
+                self.step(node, Input::Rollout { request, ask });
+            }
+            Event::OutageBegins => self.outage = true,
+            Event::OutageEnds => {
+                self.outage = false;
+                self.state.outage_over(self.now);
+            }
+        }
+    }
+
+    pub fn crash(&mut self, node: usize) {
+        if self.nodes[node].take().is_some() {
+            self.epochs[node] += 1;
+            let back = self.now + ms(self.rng.random_range(self.back.clone()));
+            self.push(back, Event::Restart(node));
+        }
+    }
+}
--- /dev/null
+++ b/tests/world/sim/network.rs
@@ -0,0 +1,45 @@
+//! Delays and cuts between nodes, zones and workers.
+
+use std::time::Duration;
+
+use rand::RngExt;
+
+use super::{World, ms};
+
+pub struct Cut {
+    pub node: usize,
+    pub zone: usize,
+    pub until: Duration,
+    pub reset: bool,
+}
+
+impl World {
+    pub(super) fn delay(&mut self) -> Duration {
+        match self.rng.random_range(0..100) {
+            0 => ms(self.rng.random_range(100..600)),
+            _ => ms(self.rng.random_range(1..15)),
+        }
+    }
+
+    /// When a message between a node and a zone arrives; none if the connection breaks.
+    pub(super) fn path(&mut self, node: usize, zone: usize) -> Option<Duration> {
+        let delay = self.delay();
+        let now = self.now;
+        match self
+            .cuts
+            .iter()
+            .find(|c| c.node == node && c.zone == zone && c.until > now)
+        {
+            Some(cut) if cut.reset => None,
+            Some(cut) => Some(cut.until + delay),
+            None => Some(now + delay),
+        }
+    }
+
+    /// The same between a node and a worker in that zone.
+    pub(super) fn worker_path(&mut self, node: usize, zone: usize) -> Option<Duration> {
+        let apart = self.workers_apart[node];
+        let at = self.path(node, zone)?;
+        Some(at.max(apart))
+    }
+}
--- /dev/null
+++ b/tests/world/sim/random_troubles.rs
@@ -0,0 +1,96 @@
+//! Troubles drawn at random, for worlds that name none of their own.
+
+use rand::RngExt;
+
+use super::{Cut, Event, NODES, World, ms};
+
+impl World {
+    pub(super) fn trouble(&mut self) {
+        let now = self.now;
+        let names: Vec<String> = self.workers.keys().cloned().collect();
+        match self.rng.random_range(0..17) {
+            0 | 1 => {
+                let node = self.rng.random_range(0..NODES);
+                self.crash(node);
+            }
+            2 => (0..NODES).for_each(|node| self.crash(node)),
+            3 => {
+                self.outage = true;
+                let until = now + ms(self.rng.random_range(1000..15_000));
+                self.push(until, Event::OutageEnds);
+            }
+            4 => {
+                let node = self.rng.random_range(0..NODES);
+                self.refused[node] = now + ms(self.rng.random_range(5000..25_000));
+            }
+            5 => {
+                let reset = self.rng.random_bool(0.5);
+                let zone = self.rng.random_range(0..3);
+                let until = now + ms(self.rng.random_range(2000..14_000));
+                for node in 0..NODES {
+                    if node != zone && self.rng.random_bool(0.6) {
+                        self.cuts.push(Cut {
+                            node,
+                            zone,
+                            until,
+                            reset,
+                        });
+                    }
+                }
+            }
+            // A process that stands still, mostly in the middle of a step.
+            13 | 14 => {
+                let node = self.rng.random_range(0..NODES);
+                let freeze = ms([900, 3000, 6000, 14_000, 40_000][self.rng.random_range(0..5)]);
+                match self.rng.random_bool(0.7) {
+                    true => self.freezes[node] = Some(freeze),
+                    false => self.frozen[node] = now + freeze,
+                }
+            }
+            15 => {
+                let node = self.rng.random_range(0..NODES);
+                self.workers_apart[node] = now + ms(self.rng.random_range(3000..25_000));
+            }
+            // Off the network, or without power, for much longer than any lease.
+            16 => {
+                let node = self.rng.random_range(0..NODES);
+                if self.nodes[node].take().is_some() {
+                    self.epochs[node] += 1;
+                    let back = now + ms(self.rng.random_range(20_000..60_000));
+                    self.push(back, Event::Restart(node));
+                }
+            }
+            10 => self.peers_apart = now + ms(self.rng.random_range(5000..25_000)),
+            11 => self.slow_until = now + ms(self.rng.random_range(5000..25_000)),
+            // A zone on its own, or one node that only its zone's workers reach.
+            8 | 9 => {
+                let alone = self.rng.random_range(0..NODES);
+                let until = now + ms(self.rng.random_range(3000..25_000));
+                let reset = self.rng.random_bool(0.5);
+                self.unreached[alone] = until;
+                for other in (0..NODES).filter(|other| *other != alone) {
+                    for (node, zone) in [(alone, other), (other, alone)] {
+                        self.cuts.push(Cut {
+                            node,
+                            zone,
+                            until,
+                            reset,
+                        });
+                    }
+                }
+            }
+            6 | 7 if !names.is_empty() => {
+                let name = &names[self.rng.random_range(0..names.len())];
+                // Just inside and just outside the lease as well.
+                let hang = ms([800, 3000, 4700, 5200, 9000][self.rng.random_range(0..5)]);
+                self.workers.get_mut(name).expect("known worker").hung_until = now + hang;
+            }
+            _ if !names.is_empty() => {
+                let name = names[self.rng.random_range(0..names.len())].clone();
+                self.remove_worker(&name);
+                self.cloud_away = now + ms(self.rng.random_range(0..10_000));
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/tests/world/sim/state_service.rs
@@ -0,0 +1,141 @@
+//! The state service as the nodes meet it: slow, refusing, or not there.
+
+use kiteyard::core::{
+    CallId, Input,
+    store::{CLAIMS, Change, PROGRESS, StateReply, StateRequest},
+};
+use rand::RngExt;
+
+use super::{Event, Sabotage, World, ms};
+
+impl World {
+    pub(super) fn at_state(
+        &mut self,
+        node: usize,
+        epoch: u64,
+        call: CallId,
+        request: StateRequest,
+    ) {
+        let now = self.now;
+        if self.unreached[node] > now {
+            // The asker has given up by the time; now and then the request still
+            // gets there when the cut is over.
+            if self.rng.random_bool(0.5) {
+                let late = self.unreached[node] + ms(self.rng.random_range(1..50));
+                self.push(late, Event::AtState(node, 0, call, request));
+            }
+            let unclear = Input::State {
+                call,
+                reply: StateReply::Unclear,
+            };
+            self.push(now + ms(1500), Event::ToNode(node, epoch, unclear));
+            return;
+        }
+        let reply = if self.outage || self.refused[node] > now {
+            StateReply::Refused {
+                retry: None,
+                limited: false,
+            }
+        } else {
+            let request = self.tampered_forms(node, self.tampered(request));
+            if self.crashes_before(node, &request) {
+                return;
+            }
+            if self.swallowed(node, &request) {
+                return;
+            }
+            let before = self.state.revision();
+            let reply = match (&request, self.sabotage) {
+                (StateRequest::Watch { after, wait, .. }, sabotage)
+                    if wait.is_zero() && self.believes(node, sabotage) =>
+                {
+                    Some(StateReply::Events {
+                        events: Vec::new(),
+                        revision: *after,
+                    })
+                }
+                // It will never be seen in the store.
+                _ if self.pretends(&request) => Some(StateReply::Committed {
+                    revision: u64::MAX >> 20,
+                }),
+                _ => self.state.call(now, &request),
+            };
+            self.look_at_commit(&request, reply.as_ref());
+            if self.state.revision() != before {
+                self.wake_watches();
+                self.look_at_stage();
+            }
+            if self.crashes_after(node) {
+                return;
+            }
+            match reply {
+                Some(reply) => reply,
+                None => {
+                    self.watches
+                        .push((node, epoch, call, request, now + ms(9000)));
+                    return;
+                }
+            }
+        };
+        self.reply_state(node, epoch, call, reply);
+    }
+
+    pub fn wake_watches(&mut self) {
+        for (node, epoch, call, request, until) in std::mem::take(&mut self.watches) {
+            // What is open when a node is cut off tells it no more either.
+            if self.now >= until || self.unreached[node] > self.now {
+                continue;
+            }
+            if self.swallowed(node, &request) {
+                continue;
+            }
+            // While a node is refused, its open watches wait as they would in an outage.
+            if self.outage || self.refused[node] > self.now {
+                self.watches.push((node, epoch, call, request, until));
+                continue;
+            }
+            match self.state.call(self.now, &request) {
+                Some(reply) => self.reply_state(node, epoch, call, reply),
+                None => self.watches.push((node, epoch, call, request, until)),
+            }
+        }
+    }
+
+    fn reply_state(&mut self, node: usize, epoch: u64, call: CallId, mut reply: StateReply) {
+        self.tamper_reply(node, &mut reply);
+        let mut at = self.now + self.delay();
+        if self.now < self.slow_until {
+            at += ms(self.rng.random_range(50..500));
+        }
+        if let StateReply::Events { events, .. } = &mut reply {
+            match self.sabotage {
+                Sabotage::DeafForCancellations => {
+                    events.retain(|e| e.value.is_some() || !e.key.starts_with("live/job"));
+                }
+                Sabotage::UnprovenAnswers if !events.is_empty() => at += ms(6000),
+                _ => {}
+            }
+        }
+        // Some answers are lost on their way.
+        if self.rng.random_range(0..200) != 0 {
+            self.push(at, Event::ToNode(node, epoch, Input::State { call, reply }));
+        }
+    }
+
+    pub fn tampered(&self, mut request: StateRequest) -> StateRequest {
+        if let (Sabotage::ForgetEnds, StateRequest::Txn { changes, .. }) =
+            (self.sabotage, &mut request)
+        {
+            changes.retain(|c| !matches!(c, Change::Put { key, .. } if key.starts_with("final/")));
+        }
+        let dropped = match self.sabotage {
+            Sabotage::ResultsByKeyAlone => PROGRESS,
+            Sabotage::ClaimsByKeyAlone => CLAIMS,
+            _ => return request,
+        };
+        if let StateRequest::Txn { conditions, .. } = &mut request {
+            conditions.retain(|c| !c.key.starts_with(dropped));
+        }
+        request
+    }
+}
--- /dev/null
+++ b/tests/world/sim/workers.rs
@@ -0,0 +1,456 @@
+//! The workers: leases, sessions, tasks, reports and commands.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use kiteyard::core::{
+    Answer, CallId, Input, RequestId,
+    job::{Kind, TaskId},
+    leader::Direct,
+    machine::{Command, DirectReply, ReportedTask, TaskPhase, Why, WorkerReport},
+    roster::ShardRecord,
+    store::{Entry, StateReply, StateRequest},
+};
+use rand::RngExt;
+
+use super::{Asker, CPUS, Event, NODES, Sabotage, World, ZONES, ms};
+use crate::observer::Running;
+
+#[derive(Debug)]
+pub enum ToWorker {
+    Answer(u64, Answer),
+    Do(usize, u64, CallId, Direct),
+}
+
+pub struct WTask {
+    pub phase: TaskPhase,
+    /// When it has its image, ends, or gives up waiting, by its phase.
+    pub until: Duration,
+}
+
+pub struct Worker {
+    pub zone: usize,
+    pub spot: bool,
+    pub session: u64,
+    pub seq: u64,
+    pub token: u64,
+    pub tasks: BTreeMap<(TaskId, u64), WTask>,
+    pub lease_from: Duration,
+    pub node: usize,
+    pub in_flight: Option<(u64, Duration)>,
+    pub next_report: Duration,
+    pub last_sent: Duration,
+    pub hung_until: Duration,
+    /// How fast its clock goes.
+    pub pace: f64,
+    pub reports: u64,
+    pub notice: Option<Duration>,
+}
+
+impl Worker {
+    pub fn answered_lately(&self, now: Duration) -> bool {
+        now < self.lease_from + ms(1500)
+    }
+
+    /// A task with its image is here.
+    pub fn holds(&self) -> bool {
+        self.tasks.values().any(|t| t.phase.on_machine())
+    }
+}
+
+impl World {
+    /// The worker that waits for an answer.
+    pub fn asker(&self, request: RequestId) -> Option<String> {
+        let mut asked = self.asked.iter();
+        asked.find_map(|((_, _, asked), asker)| match asker {
+            Asker::Worker(name, _) if *asked == request => Some(name.clone()),
+            _ => None,
+        })
+    }
+
+    pub(super) fn worker_tick(&mut self, name: &str) {
+        let now = self.now;
+        if let Some((zone, spot, _)) = self.booting.remove(name) {
+            let pace = 1.0 - 5e-4 + self.rng.random_range(0..10) as f64 * 1e-4;
+            let node = self.rng.random_range(0..NODES);
+            self.workers.insert(
+                name.to_owned(),
+                Worker {
+                    zone,
+                    spot,
+                    session: 1,
+                    seq: 0,
+                    token: 0,
+                    tasks: BTreeMap::new(),
+                    lease_from: now,
+                    node,
+                    in_flight: None,
+                    next_report: now,
+                    last_sent: Duration::ZERO,
+                    hung_until: Duration::ZERO,
+                    pace,
+                    reports: 0,
+                    notice: None,
+                },
+            );
+        }
+        if !self.workers.contains_key(name) {
+            return;
+        }
+        // A hanging machine is back within its lease or has lost its tasks.
+        self.lease_check(name);
+        if self.workers[name].hung_until > now {
+            self.push(now + self.scale.look, Event::WorkerTick(name.to_owned()));
+            return;
+        }
+        self.run_tasks(name);
+        self.maybe_report(name);
+        self.push(now + self.scale.look, Event::WorkerTick(name.to_owned()));
+    }
+
+    fn lease_check(&mut self, name: &str) {
+        let now = self.now;
+        let worker = self.workers.get_mut(name).expect("known worker");
+        if (now - worker.lease_from).mul_f64(worker.pace) <= self.scale.lease {
+            return;
+        }
+        worker.session += 1;
+        worker.lease_from = now;
+        worker.in_flight = None;
+        worker.next_report = now;
+        for ((task, _), t) in std::mem::take(&mut worker.tasks) {
+            if t.phase.on_machine() {
+                self.observer.gone(&task, name, false);
+            }
+        }
+    }
+
+    fn run_tasks(&mut self, name: &str) {
+        let now = self.now;
+        let keys: Vec<(TaskId, u64)> = self.workers[name].tasks.keys().cloned().collect();
+        let mut changed = false;
+        for key in keys {
+            let spec = self.spec(&key.0).clone();
+            let faulty = self.job(&key.0).faulty;
+            let (phase, until) = {
+                let t = &self.workers[name].tasks[&key];
+                (t.phase, t.until)
+            };
+            let whole = || {
+                let with = |w: &Worker| {
+                    w.tasks
+                        .iter()
+                        .filter(|((t, a), x)| {
+                            t.job == key.0.job && *a == key.1 && x.phase.on_machine()
+                        })
+                        .count()
+                };
+                self.workers.values().map(with).sum::<usize>() == spec.tasks as usize
+            };
+            let runs_until = match spec.kind {
+                Kind::Service => self.scale.length * 2,
+                _ => now + ms((1500 + u64::from(key.0.index % 7) * 700) * self.scale.longer),
+            };
+            let next = match phase {
+                TaskPhase::Fetching if now >= until => {
+                    let (zone, spot) = (self.workers[name].zone, self.workers[name].spot);
+                    let running = Running {
+                        spec: spec.clone(),
+                        machine: name.to_owned(),
+                        zone: ZONES[zone].to_owned(),
+                        spot,
+                    };
+                    self.observer.started(now, &key.0, running);
+                    if self.results.contains(&key.0) {
+                        Some((TaskPhase::Exited(Why::Done), now))
+                    } else if spec.kind == Kind::Gang {
+                        Some((TaskPhase::Waiting, now + self.scale.gang_wait))
+                    } else {
+                        Some((TaskPhase::Running, runs_until))
+                    }
+                }
+                TaskPhase::Waiting if whole() => {
+                    let until = now + ms(4000) * self.scale.longer as u32;
+                    Some((TaskPhase::Running, until))
+                }
+                TaskPhase::Waiting if now >= until => {
+                    // Running ones of its gang make it run too.
+                    Some((TaskPhase::Exited(Why::Incomplete), now))
+                }
+                TaskPhase::Running if faulty => Some((TaskPhase::Exited(Why::Error), now)),
+                TaskPhase::Running if spec.kind == Kind::Gang && !whole() && now < until => {
+                    Some((TaskPhase::Exited(Why::Peers), now))
+                }
+                TaskPhase::Running if now >= until => Some((TaskPhase::Exited(Why::Done), now)),
+                TaskPhase::Saving if now >= until => {
+                    Some((TaskPhase::Exited(Why::Stopped { saved: true }), now))
+                }
+                _ => None,
+            };
+            let Some((phase, until)) = next else { continue };
+            changed = true;
+            if phase.exited() {
+                let done = phase == TaskPhase::Exited(Why::Done);
+                if done {
+                    // The tasks of a gang complete together.
+                    let all = if spec.kind == Kind::Gang {
+                        0..spec.tasks
+                    } else {
+                        key.0.index..key.0.index + 1
+                    };
+                    for index in all {
+                        let task = TaskId {
+                            job: key.0.job.clone(),
+                            index,
+                        };
+                        self.results.insert(task.clone());
+                        self.observer.gone(&task, "", true);
+                    }
+                }
+                self.observer.gone(&key.0, name, done);
+            }
+            let worker = self.workers.get_mut(name).expect("known worker");
+            worker.tasks.insert(key, WTask { phase, until });
+        }
+        if changed {
+            self.hurry(name);
+        }
+    }
+
+    fn hurry(&mut self, name: &str) {
+        let worker = self.workers.get_mut(name).expect("known worker");
+        worker.next_report = worker.next_report.min(worker.last_sent + ms(500));
+    }
+
+    fn report(&mut self, name: &str) -> WorkerReport {
+        let now = self.now;
+        let believe = self.sabotage == Sabotage::BelieveRunning;
+        let void = u64::from(self.sabotage == Sabotage::BelievesVoid) * 0xff;
+        let worker = self.workers.get_mut(name).expect("known worker");
+        worker.seq += 1;
+        WorkerReport {
+            machine: Arc::from(name),
+            addr: "127.0.0.1:9".parse().expect("an address"),
+            machine_type: Arc::from("m"),
+            zone: Arc::from(ZONES[worker.zone]),
+            spot: worker.spot,
+            session: worker.session,
+            seq: worker.seq,
+            token: worker.token | void,
+            notice_s: worker.notice.map(|at| at.saturating_sub(now).as_secs_f64()),
+            tasks: worker
+                .tasks
+                .iter()
+                .map(|((task, attempt), t)| ReportedTask {
+                    task: task.clone(),
+                    attempt: *attempt,
+                    phase: match t.phase {
+                        TaskPhase::Running if believe => TaskPhase::Exited(Why::Done),
+                        phase => phase,
+                    },
+                })
+                .collect(),
+        }
+    }
+
+    fn maybe_report(&mut self, name: &str) {
+        let now = self.now;
+        let worker = self.workers.get_mut(name).expect("known worker");
+        if let Some((_, sent)) = worker.in_flight {
+            if now < sent + Duration::from_secs(4) {
+                return;
+            }
+            worker.in_flight = None;
+            worker.node = (worker.node + 1) % NODES;
+            worker.next_report = now + ms(1000);
+        }
+        if now < worker.next_report {
+            return;
+        }
+        worker.reports += 1;
+        let id = worker.reports;
+        worker.in_flight = Some((id, now));
+        worker.last_sent = now;
+        let (node, zone) = (worker.node, worker.zone);
+        let report = self.report(name);
+        let at = match self.worker_path(node, zone) {
+            Some(at) if self.nodes[node].is_some() => at,
+            _ => {
+                let worker = self.workers.get_mut(name).expect("known worker");
+                worker.in_flight = None;
+                worker.node = (worker.node + 1) % NODES;
+                worker.next_report = now + ms(1000);
+                return;
+            }
+        };
+        self.next_request += 1;
+        let request = self.next_request;
+        let epoch = self.epochs[node];
+        self.asked
+            .insert((node, epoch, request), Asker::Worker(name.to_owned(), id));
+        self.copy_report(&report);
+        self.push(
+            at,
+            Event::ToNode(node, epoch, Input::Report { request, report }),
+        );
+    }
+
+    pub(super) fn at_worker(&mut self, name: String, message: ToWorker) {
+        let now = self.now;
+        let Some(worker) = self.workers.get(&name) else {
+            return;
+        };
+        if self.between.deaf(&name, now) {
+            return;
+        }
+        if worker.hung_until > now {
+            // A hanging machine gets it when it resumes, before anything else.
+            let at = worker.hung_until;
+            self.push(at, Event::AtWorker(name, message));
+            return;
+        }
+        self.lease_check(&name);
+        match message {
+            ToWorker::Answer(id, answer) => {
+                let worker = self.workers.get_mut(&name).expect("known worker");
+                let Some((in_flight, sent)) = worker.in_flight else {
+                    return;
+                };
+                if in_flight != id || now > sent + Duration::from_secs(4) {
+                    return;
+                }
+                worker.in_flight = None;
+                worker.next_report = now + self.scale.report;
+                match answer {
+                    Answer::Commands { token, commands } if token >= worker.token => {
+                        let news = token > worker.token;
+                        worker.token = token;
+                        worker.lease_from = sent;
+                        self.execute(&name, &commands);
+                        if news {
+                            self.hurry(&name);
+                        }
+                    }
+                    Answer::Commands { .. } => {}
+                    Answer::Redirect(Some(node)) => {
+                        worker.node = node[1..].parse().expect("a node's name");
+                        worker.next_report = now + ms(200);
+                    }
+                    _ => {
+                        worker.node = (worker.node + 1) % NODES;
+                        worker.next_report = now + ms(1000);
+                    }
+                }
+            }
+            ToWorker::Do(node, epoch, call, direct) => {
+                let worker = self.workers.get_mut(&name).expect("known worker");
+                let good = direct.token >= worker.token && direct.session == worker.session;
+                let zone = worker.zone;
+                if good {
+                    worker.token = direct.token;
+                    self.execute(&name, &direct.commands);
+                }
+                let report = self.report(&name);
+                let reply = match good {
+                    true => DirectReply::Executed(report),
+                    false => DirectReply::Refused(report),
+                };
+                if let Some(at) = self.worker_path(node, zone) {
+                    let at = at + self.held_up();
+                    self.push(
+                        at,
+                        Event::ToNode(node, epoch, Input::Direct { call, reply }),
+                    );
+                }
+            }
+        }
+    }
+
+    fn execute(&mut self, name: &str, commands: &[Command]) {
+        let now = self.now;
+        for command in commands {
+            match command {
+                Command::Start { task, attempt } => {
+                    self.check_listed(name, task);
+                    let spec = self.spec(task).clone();
+                    let fetch = ms(self.rng.random_range(100..2500));
+                    let used: f64 = self.workers[name]
+                        .tasks
+                        .iter()
+                        .filter(|(_, t)| !t.phase.exited())
+                        .map(|((task, _), _)| self.spec(task).need.cpus)
+                        .sum();
+                    let worker = self.workers.get_mut(name).expect("known worker");
+                    let key = (task.clone(), *attempt);
+                    if worker.tasks.contains_key(&key) {
+                        continue;
+                    }
+                    let phase = if worker.tasks.keys().any(|(t, _)| t == task) {
+                        TaskPhase::Exited(Why::Busy)
+                    } else if used + spec.need.cpus > CPUS + 1e-6 {
+                        TaskPhase::Exited(Why::NoRoom)
+                    } else {
+                        TaskPhase::Fetching
+                    };
+                    let until = now + fetch;
+                    worker.tasks.insert(key, WTask { phase, until });
+                }
+                Command::Stop {
+                    task,
+                    attempt,
+                    grace,
+                } => {
+                    let spec = self.spec(task).clone();
+                    let worker = self.workers.get_mut(name).expect("known worker");
+                    let Some(t) = worker.tasks.get_mut(&(task.clone(), *attempt)) else {
+                        continue;
+                    };
+                    let save = Duration::from_secs_f64(spec.save_s);
+                    let had_image = t.phase.on_machine();
+                    match t.phase {
+                        TaskPhase::Exited(_) => continue,
+                        TaskPhase::Running if spec.checkpoint_s > 0.0 && *grace >= save => {
+                            t.phase = TaskPhase::Saving;
+                            t.until = now + save;
+                            continue;
+                        }
+                        TaskPhase::Saving if !grace.is_zero() => continue,
+                        _ => t.phase = TaskPhase::Exited(Why::Stopped { saved: false }),
+                    }
+                    if had_image {
+                        self.observer.gone(task, name, false);
+                    }
+                }
+                Command::Forget { task, attempt } => {
+                    let worker = self.workers.get_mut(name).expect("known worker");
+                    let key = (task.clone(), *attempt);
+                    if worker.tasks.get(&key).is_some_and(|t| t.phase.exited()) {
+                        worker.tasks.remove(&key);
+                    }
+                }
+            }
+        }
+        self.hurry(name);
+    }
+
+    /// A next leader trusts the roster on which jobs a silent machine may hold.
+    fn check_listed(&mut self, name: &str, task: &TaskId) {
+        let request = StateRequest::List {
+            prefix: "roster/".into(),
+            after: None,
+        };
+        let entries = match self.state.call(self.now, &request) {
+            Some(StateReply::Entries { entries, .. }) => entries,
+            _ => Vec::new(),
+        };
+        let holds = |entry: &&Entry| entry.value.get().contains(name);
+        let listed = entries.iter().filter(holds).any(|entry| {
+            let record: ShardRecord =
+                serde_json::from_str(entry.value.get()).expect("a shard of the roster");
+            let mut machines = record.machines();
+            machines.any(|m| &*m.id == name && m.jobs.contains(&task.job))
+        });
+        if !listed {
+            self.observer.unlisted(self.now, task, name);
+        }
+    }
+}
