Rentals: one plan that orders machines, and a typed kind of machine

Cause: plan_orders and order_ahead added their orders in the same words, and a kind of machine was a bare tuple of type, zone and spot. RentalPlan keeps coming room, machines by zone and orders; MachineKind has named fields and keeps its spoken form, a list of three. No behaviour changed; the library's, scheduling and forms tests pass.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -12,7 +12,7 @@
 use super::{
     job::{JobSpec, Kind},
     leader::Leader,
-    machine::{ListedMachine, ListedState, Machine, MachineId, MachineType, Standing},
+    machine::{ListedMachine, ListedState, Machine, MachineId, MachineKind, MachineType, Standing},
 };
 
 #[derive(Debug, Clone)]
@@ -32,6 +32,16 @@
     pub count: u32,
 }
 
+impl Rental {
+    pub(super) fn kind(&self) -> MachineKind {
+        MachineKind {
+            machine_type: self.machine_type.clone(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+        }
+    }
+}
+
 #[derive(Debug, Clone)]
 pub enum CloudReply {
     Types(Vec<MachineType>),
@@ -56,9 +66,6 @@
     next_try: Duration,
 }
 
-/// Type, zone, and whether it is a spot machine.
-pub(super) type Kind3 = (Arc<str>, Arc<str>, bool);
-
 /// What the leader has going with the cloud.
 #[derive(Debug)]
 pub struct Fleet {
@@ -79,7 +86,7 @@
     next_call: Duration,
     releasing: BTreeSet<MachineId>,
     /// Kinds of machine that were refused, until when they are not asked for again.
-    refused: HashMap<Kind3, Duration>,
+    refused: HashMap<MachineKind, Duration>,
     /// How many rentals may be without an answer.
     pace: Pace,
     /// Machines that were returned; the list may still show them for a while.
@@ -135,7 +142,7 @@
         self.open.last().map_or("", |open| &open.rental.request)
     }
 
-    pub(super) fn refuses(&self, kind: &Kind3) -> bool {
+    pub(super) fn refuses(&self, kind: &MachineKind) -> bool {
         self.refused.contains_key(kind)
     }
 
@@ -144,7 +151,7 @@
     }
 
     /// What was refused lately, and for how long that still counts.
-    pub(super) fn refusals(&self, now: Duration) -> Vec<(Kind3, Duration)> {
+    pub(super) fn refusals(&self, now: Duration) -> Vec<(MachineKind, Duration)> {
         let left = self
             .refused
             .iter()
@@ -154,7 +161,7 @@
     }
 
     /// What the former leader was refused is not asked for again at once.
-    pub(super) fn recall(&mut self, refused: Vec<(Kind3, Duration)>, now: Duration) {
+    pub(super) fn recall(&mut self, refused: Vec<(MachineKind, Duration)>, now: Duration) {
         for (kind, left) in refused {
             self.refused
                 .entry(kind)
@@ -284,11 +291,7 @@
     }
 
     fn rent_reply(&mut self, rental: &Rental, reply: CloudReply, now: Duration) {
-        let kind = (
-            rental.machine_type.clone(),
-            rental.zone.clone(),
-            rental.spot,
-        );
+        let kind = rental.kind();
         self.fleet.pace.step(match reply {
             CloudReply::Rented(_) => Outcome::Done,
             CloudReply::NoCapacity => Outcome::Refused,
--- a/src/core/hints.rs
+++ b/src/core/hints.rs
@@ -17,10 +17,9 @@
 
 use super::{
     Node, Output,
-    fleet::Kind3,
     job::JobId,
     leader::Leader,
-    machine::{Machine, MachineId},
+    machine::{Machine, MachineId, MachineKind},
     relay::PeerMessage,
 };
 
@@ -36,7 +35,7 @@
     workers: BTreeMap<MachineId, (SocketAddr, u64)>,
     /// Kinds of machine that the cloud refused, and for how long they are not asked for.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    refused: Vec<(Kind3, Duration)>,
+    refused: Vec<(MachineKind, Duration)>,
 }
 
 /// How often the leader tells them.
--- a/src/core/machine.rs
+++ b/src/core/machine.rs
@@ -255,7 +255,45 @@
     pub listed_failed: bool,
 }
 
+/// What the cloud rents as one kind: machines that are alike in type, zone and price model.
+///
+/// Between nodes it is spoken as a list of three.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(
+    from = "(Arc<str>, Arc<str>, bool)",
+    into = "(Arc<str>, Arc<str>, bool)"
+)]
+pub(super) struct MachineKind {
+    pub machine_type: Arc<str>,
+    pub zone: Arc<str>,
+    pub spot: bool,
+}
+
+impl From<(Arc<str>, Arc<str>, bool)> for MachineKind {
+    fn from((machine_type, zone, spot): (Arc<str>, Arc<str>, bool)) -> Self {
+        Self {
+            machine_type,
+            zone,
+            spot,
+        }
+    }
+}
+
+impl From<MachineKind> for (Arc<str>, Arc<str>, bool) {
+    fn from(kind: MachineKind) -> Self {
+        (kind.machine_type, kind.zone, kind.spot)
+    }
+}
+
 impl Machine {
+    pub(super) fn kind(&self) -> MachineKind {
+        MachineKind {
+            machine_type: self.machine_type.clone(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+        }
+    }
+
     pub fn new(
         id: MachineId,
         machine_type: Arc<str>,
--- a/src/core/rent.rs
+++ b/src/core/rent.rs
@@ -2,18 +2,20 @@
 
 mod ahead;
 pub mod arrivals;
+mod plan;
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use tracing::info;
 
 use ahead::Ahead;
+use plan::{RentalOrder, RentalPlan};
 
 use super::{
-    fleet::{Kind3, Rental},
+    fleet::Rental,
     job::{JobId, JobSpec, Kind, Resources},
     leader::{Job, Leader},
-    machine::{Machine, Standing},
+    machine::{MachineKind, Standing},
     room::listed_by_silent,
     squaring::Order,
 };
@@ -34,124 +36,116 @@
         if !self.fleet.may_order() {
             return;
         }
-        for ((machine_type, zone, spot), mut wanted, job) in self.plan_orders(now) {
-            while wanted > 0 && self.fleet.may_order() {
-                let count = wanted.min(CALL_MOST);
-                wanted -= count;
-                let rental = Rental {
-                    request: String::new(),
-                    machine_type: machine_type.clone(),
-                    zone: zone.clone(),
-                    spot,
-                    count,
-                };
-                let request = self.fleet.order(rental);
-                info!(request, kind = %machine_type, %zone, spot, count, %job, "rent");
-            }
+        for order in self.plan_orders(now) {
+            self.place_order(order);
+        }
+    }
+
+    /// Hands an order to the cloud in calls of as many machines as one call may ask for.
+    fn place_order(&mut self, order: RentalOrder) {
+        let RentalOrder { kind, job, .. } = order;
+        let MachineKind { zone, spot, .. } = &kind;
+        let mut wanted = order.count;
+        while wanted > 0 && self.fleet.may_order() {
+            let count = wanted.min(CALL_MOST);
+            wanted -= count;
+            let rental = Rental {
+                request: String::new(),
+                machine_type: kind.machine_type.clone(),
+                zone: zone.clone(),
+                spot: *spot,
+                count,
+            };
+            let request = self.fleet.order(rental);
+            info!(request, kind = %kind.machine_type, %zone, spot, count, %job, "rent");
         }
     }
 
     /// Machines by kind for all that waits, in as few calls as the cloud takes: one call
     /// for each job kept a fleet that begins with nothing waiting for calls.
-    fn plan_orders(&mut self, now: Duration) -> Vec<(Kind3, u32, JobId)> {
-        let mut ahead = Ahead::default();
-        let kind = |m: &Machine| (m.machine_type.clone(), m.zone.clone(), m.spot);
-        let mut in_zone: HashMap<Arc<str>, usize> = HashMap::new();
+    fn plan_orders(&mut self, now: Duration) -> Vec<RentalOrder> {
+        let mut plan = RentalPlan::default();
         // Gangs that have to stay in one zone may wait though there is room for a part.
         let mut idle = Ahead::default();
         for machine in self.machines.values() {
-            *in_zone.entry(machine.zone.clone()).or_insert(0) += 1;
+            plan.count_machines(&machine.zone, 1);
             if machine.standing == Standing::Booting {
-                ahead.add(&kind(machine), machine.size, 1);
+                plan.coming.add(&machine.kind(), machine.size, 1);
             } else if !machine.busy() && self.usable(machine, now) {
-                idle.add(&kind(machine), machine.size, 1);
+                idle.add(&machine.kind(), machine.size, 1);
             }
         }
-        for r in self.fleet.ordered() {
-            let kind = (r.machine_type.clone(), r.zone.clone(), r.spot);
-            ahead.add(&kind, self.size(&r.machine_type), r.count);
+        for rental in self.fleet.ordered() {
+            let size = self.size(&rental.machine_type);
+            plan.coming.add(&rental.kind(), size, rental.count);
         }
-        let mut orders: Vec<(Kind3, u32, JobId)> = Vec::new();
-        for mut demand in self.demands(now) {
-            let spec = demand.spec.clone();
-            if !spec.one_zone {
-                demand.tasks = ahead.fill(&spec, None, demand.tasks);
-            } else if let Some(zone) = whole_in(&spec, demand.tasks, &ahead, &idle) {
-                let left = idle.fill(&spec, Some(&zone), demand.tasks);
-                demand.tasks = ahead.fill(&spec, Some(&zone), left);
-            }
-            if demand.tasks == 0 || self.room_may_come(&spec, Order::Rent) {
-                continue;
-            }
-            while demand.tasks > 0 {
-                let there = |zone: &str| match spec.one_zone {
-                    true => ahead.takes(&spec, Some(zone)) + idle.takes(&spec, Some(zone)),
-                    false => 0,
-                };
-                let Some((kind, count)) = self.choose_rental(&demand, there, &in_zone) else {
-                    break;
-                };
-                ahead.add(&kind, self.size(&kind.0), count);
-                *in_zone.entry(kind.1.clone()).or_insert(0) += count as usize;
-                if spec.one_zone {
-                    demand.tasks = idle.fill(&spec, Some(&kind.1), demand.tasks);
-                    demand.tasks = ahead.fill(&spec, Some(&kind.1), demand.tasks);
-                } else {
-                    demand.tasks = ahead.fill(&spec, None, demand.tasks);
-                }
-                match orders.iter_mut().find(|(known, ..)| *known == kind) {
-                    Some((_, sum, _)) => *sum += count,
-                    None => orders.push((kind, count, spec.id.clone())),
-                }
+        for demand in self.demands(now) {
+            self.plan_demand(demand, &mut plan, &mut idle);
+        }
+        self.order_ahead(now, &mut plan);
+        plan.into_orders()
+    }
+
+    /// Orders machines for the tasks that neither coming nor idle room takes.
+    fn plan_demand(&mut self, mut demand: Demand, plan: &mut RentalPlan, idle: &mut Ahead) {
+        let spec = demand.spec.clone();
+        if !spec.one_zone {
+            demand.tasks = plan.coming.fill(&spec, None, demand.tasks);
+        } else if let Some(zone) = whole_in(&spec, demand.tasks, &plan.coming, idle) {
+            let left = idle.fill(&spec, Some(&zone), demand.tasks);
+            demand.tasks = plan.coming.fill(&spec, Some(&zone), left);
+        }
+        if demand.tasks == 0 || self.room_may_come(&spec, Order::Rent) {
+            return;
+        }
+        while demand.tasks > 0 {
+            let room_in = |zone: &str| match spec.one_zone {
+                true => plan.coming.takes(&spec, Some(zone)) + idle.takes(&spec, Some(zone)),
+                false => 0,
+            };
+            let Some((kind, count)) = self.choose_rental(&demand, room_in, plan) else {
+                break;
+            };
+            plan.order(&kind, self.size(&kind.machine_type), count, &spec);
+            if spec.one_zone {
+                demand.tasks = idle.fill(&spec, Some(&kind.zone), demand.tasks);
+                demand.tasks = plan.coming.fill(&spec, Some(&kind.zone), demand.tasks);
+            } else {
+                demand.tasks = plan.coming.fill(&spec, None, demand.tasks);
             }
         }
-        self.order_ahead(now, &mut ahead, &mut in_zone, &mut orders);
-        orders
     }
 
     /// Asks for room for what usually comes until a machine has booted, where that is to
     /// start sooner than it could on a machine that is asked for then.
-    fn order_ahead(
-        &self,
-        now: Duration,
-        ahead: &mut Ahead,
-        in_zone: &mut HashMap<Arc<str>, usize>,
-        orders: &mut Vec<(Kind3, u32, JobId)>,
-    ) {
+    fn order_ahead(&self, now: Duration, plan: &mut RentalPlan) {
         let expected = self.expected();
         if expected.is_empty() {
             return;
         }
-        for m in self.machines.values().filter(|m| self.usable(m, now)) {
-            let free = m.free();
+        for machine in self.machines.values().filter(|m| self.usable(m, now)) {
+            let free = machine.free();
             if expected.iter().any(|(spec, _)| spec.need.fits_in(&free)) {
-                let kind = (m.machine_type.clone(), m.zone.clone(), m.spot);
-                ahead.add(&kind, free, 1);
+                plan.coming.add(&machine.kind(), free, 1);
             }
         }
         let mut left = self.limits_left();
-        for (spec, tasks) in expected {
-            let mut tasks = tasks;
+        for (spec, mut tasks) in expected {
             if let Some(left) = left.get_mut(&spec.team) {
                 tasks = tasks.min(spec.need.times_in(left));
                 *left = left.plus_times(&spec.need, -f64::from(tasks));
             }
-            tasks = ahead.fill(&spec, None, tasks);
+            tasks = plan.coming.fill(&spec, None, tasks);
             while tasks > 0 {
                 let demand = Demand {
                     spec: spec.clone(),
                     tasks: tasks.min(spec.need.times_in(&self.largest(&spec)) * RENT_MOST),
                 };
-                let Some((kind, count)) = self.choose_rental(&demand, |_| 0, in_zone) else {
+                let Some((kind, count)) = self.choose_rental(&demand, |_| 0, plan) else {
                     break;
                 };
-                ahead.add(&kind, self.size(&kind.0), count);
-                *in_zone.entry(kind.1.clone()).or_insert(0) += count as usize;
-                tasks = ahead.fill(&spec, None, tasks);
-                match orders.iter_mut().find(|(known, ..)| *known == kind) {
-                    Some((_, sum, _)) => *sum += count,
-                    None => orders.push((kind, count, spec.id.clone())),
-                }
+                plan.order(&kind, self.size(&kind.machine_type), count, &spec);
+                tasks = plan.coming.fill(&spec, None, tasks);
             }
         }
     }
@@ -279,10 +273,10 @@
         &self,
         demand: &Demand,
         there: impl Fn(&str) -> u32,
-        in_zone: &HashMap<Arc<str>, usize>,
-    ) -> Option<(Kind3, u32)> {
+        plan: &RentalPlan,
+    ) -> Option<(MachineKind, u32)> {
         let spec = &demand.spec;
-        let mut best: Option<(f64, Kind3, u32)> = None;
+        let mut best: Option<(f64, MachineKind, u32)> = None;
         for t in self.types.iter().filter(|t| spec.allows_type(&t.name)) {
             let slots = spec.need.times_in(&t.size);
             if slots == 0 {
@@ -291,7 +285,11 @@
             for zone in &t.zones {
                 let tasks = demand.tasks.saturating_sub(there(zone)).max(1);
                 for spot in [true, false] {
-                    let kind = (t.name.clone(), zone.clone(), spot);
+                    let kind = MachineKind {
+                        machine_type: t.name.clone(),
+                        zone: zone.clone(),
+                        spot,
+                    };
                     if !spec.allows_place(zone, spot)
                         || self.fleet.refuses(&kind)
                         || !self.reaches(zone)
@@ -310,7 +308,7 @@
                         false => tasks.min(slots * count),
                     };
                     let cost = price * f64::from(count) / f64::from(held) * (1.0 + t.boot_s / 60.0)
-                        + 1e-4 * *in_zone.get(zone).unwrap_or(&0) as f64;
+                        + 1e-4 * plan.machines_in(zone) as f64;
                     if best.as_ref().is_none_or(|(c, ..)| cost < *c) {
                         best = Some((cost, kind, count));
                     }
--- a/src/core/rent/ahead.rs
+++ b/src/core/rent/ahead.rs
@@ -4,12 +4,12 @@
 use std::sync::Arc;
 
 use crate::core::{
-    fleet::Kind3,
     job::{JobSpec, Resources},
+    machine::MachineKind,
 };
 
 struct Alike {
-    kind: Kind3,
+    kind: MachineKind,
     free: Resources,
     count: u32,
 }
@@ -17,7 +17,11 @@
 impl Alike {
     /// How many tasks of the job each of them takes.
     fn slots(&self, spec: &JobSpec, zone: Option<&str>) -> u32 {
-        let (machine_type, in_zone, spot) = &self.kind;
+        let MachineKind {
+            machine_type,
+            zone: in_zone,
+            spot,
+        } = &self.kind;
         let may = zone.is_none_or(|zone| zone == &**in_zone)
             && spec.allows_type(machine_type)
             && spec.allows_place(in_zone, *spot);
@@ -32,7 +36,7 @@
 pub struct Ahead(Vec<Alike>);
 
 impl Ahead {
-    pub fn add(&mut self, kind: &Kind3, free: Resources, count: u32) {
+    pub fn add(&mut self, kind: &MachineKind, free: Resources, count: u32) {
         if count == 0 {
             return;
         }
@@ -48,7 +52,7 @@
     }
 
     pub fn zones(&self) -> impl Iterator<Item = &Arc<str>> {
-        self.0.iter().map(|alike| &alike.kind.1)
+        self.0.iter().map(|alike| &alike.kind.zone)
     }
 
     /// Tasks of the job that find room, in one zone where one is named.
@@ -129,6 +133,14 @@
         }
     }
 
+    fn kind(zone: &str, spot: bool) -> MachineKind {
+        MachineKind {
+            machine_type: Arc::from("m"),
+            zone: Arc::from(zone),
+            spot,
+        }
+    }
+
     /// Rooms counted together take what a list of single ones takes.
     #[test]
     fn rooms_counted_together_take_what_single_ones_take() {
@@ -137,7 +149,7 @@
             let (mut ahead, mut plain) = (Ahead::default(), Vec::new());
             for _ in 0..rng.random_range(1..6) {
                 let zone = ["a", "b"][rng.random_range(0..2)];
-                let kind: Kind3 = (Arc::from("m"), Arc::from(zone), rng.random_bool(0.5));
+                let kind = kind(zone, rng.random_bool(0.5));
                 let free = Resources {
                     cpus: f64::from(rng.random_range(1..20u32)),
                     gpus: f64::from(rng.random_range(0..9u32)),
@@ -153,8 +165,8 @@
                 let spec = spec(cpus, gpus, rng.random_bool(0.5));
                 let zone = [None, Some("a"), Some("b")][rng.random_range(0..3)];
                 let asked = rng.random_range(0..12);
-                let may = |kind: &Kind3| {
-                    zone.is_none_or(|zone| zone == &*kind.1) && (spec.spot || !kind.2)
+                let may = |kind: &MachineKind| {
+                    zone.is_none_or(|zone| zone == &*kind.zone) && (spec.spot || !kind.spot)
                 };
                 let takes: u32 = plain
                     .iter()
@@ -178,7 +190,7 @@
     /// arrays, which then asked for no machines of their own.
     #[test]
     fn small_jobs_share_a_room_and_leave_the_others_whole() {
-        let kind: Kind3 = (Arc::from("m"), Arc::from("a"), false);
+        let kind = kind("a", false);
         let (small, whole) = (spec(5.0, 1.0, false), spec(57.0, 8.0, false));
         let mut ahead = Ahead::default();
         let free = Resources {
