--- /dev/null
+++ b/tests/structure.rs
@@ -0,0 +1,171 @@
+//! Bounds on the core's structure, so that it only gets simpler: how many of its modules import
+//! one another in a circle, and how long its largest files are.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fs,
+    path::{Path, PathBuf},
+};
+
+/// Modules that reach one another by their imports. Lower it with each module that leaves.
+const LARGEST_CIRCLE: usize = 20;
+
+/// Files that were too long when this was written, and may only become shorter.
+const LONG_FILES: [(&str, usize); 4] = [
+    ("leader.rs", 805),
+    ("sched.rs", 724),
+    ("mod.rs", 677),
+    ("lead.rs", 623),
+];
+
+/// No other file of the core may be longer than this.
+const FILE_MOST: usize = 600;
+
+type Imports = BTreeMap<String, BTreeSet<String>>;
+
+fn core_folder() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("src/core")
+}
+
+/// Every source file below the core, named by its path.
+fn core_files() -> Vec<(String, String)> {
+    let mut files = Vec::new();
+    let mut folders = vec![core_folder()];
+    while let Some(folder) = folders.pop() {
+        for entry in fs::read_dir(folder).expect("a folder") {
+            let path = entry.expect("an entry").path();
+            if path.is_dir() {
+                folders.push(path);
+            } else if path.extension().is_some_and(|extension| extension == "rs") {
+                let name = path.strip_prefix(core_folder()).expect("below the core");
+                let text = fs::read_to_string(&path).expect("a source file");
+                files.push((name.to_string_lossy().into_owned(), text));
+            }
+        }
+    }
+    files
+}
+
+/// The module of the core that a file belongs to: its own name, or its folder's.
+fn module_of(file: &str) -> String {
+    let first = file.split('/').next().unwrap_or(file);
+    first.trim_end_matches(".rs").to_owned()
+}
+
+/// Names that follow the prefix in an import: `a::b` and each of `{a, b::{c, d}}`.
+fn names_after(import: &str, prefix: &str) -> BTreeSet<String> {
+    let Some(at) = import.find(prefix) else {
+        return BTreeSet::new();
+    };
+    let rest = &import[at + prefix.len()..];
+    let mut names = BTreeSet::new();
+    let mut depth = 0;
+    let mut name = String::new();
+    for letter in rest.chars() {
+        let outermost = depth <= usize::from(rest.starts_with('{'));
+        match letter {
+            '{' => depth += 1,
+            '}' => depth -= 1,
+            ',' if outermost => names.extend([std::mem::take(&mut name)]),
+            _ if outermost => name.push(letter),
+            _ => {}
+        }
+    }
+    names.insert(name);
+    let module = |name: &String| name.split("::").next().unwrap_or("").trim().to_owned();
+    names.iter().map(module).collect()
+}
+
+/// Which modules of the core a file imports.
+fn imports_of(file: &str, text: &str) -> BTreeSet<String> {
+    let depth = file.matches('/').count() + usize::from(!file.ends_with("mod.rs"));
+    let parent = format!("{}::", vec!["super"; depth.max(1)].join("::"));
+    let mut found = BTreeSet::new();
+    let uses = text.split('\n').collect::<Vec<_>>().join(" ");
+    for import in uses.split("use ").skip(1) {
+        let import = import.split(';').next().unwrap_or("");
+        if import.starts_with("crate::core::") {
+            found.extend(names_after(import, "crate::core::"));
+        } else if import.starts_with(&parent) && file != "mod.rs" {
+            found.extend(names_after(import, &parent));
+        }
+    }
+    found
+}
+
+fn imports() -> Imports {
+    let files = core_files();
+    let modules: BTreeSet<String> = files.iter().map(|(file, _)| module_of(file)).collect();
+    let mut imports = Imports::new();
+    for (file, text) in &files {
+        let module = module_of(file);
+        let known = imports_of(file, text)
+            .into_iter()
+            .filter(|name| modules.contains(name) && *name != module);
+        imports.entry(module.clone()).or_default().extend(known);
+    }
+    imports
+}
+
+fn reachable(imports: &Imports, from: &str) -> BTreeSet<String> {
+    let mut reached = BTreeSet::new();
+    let mut open = vec![from.to_owned()];
+    while let Some(module) = open.pop() {
+        for next in imports.get(&module).into_iter().flatten() {
+            if reached.insert(next.clone()) {
+                open.push(next.clone());
+            }
+        }
+    }
+    reached
+}
+
+/// The largest set of modules each of which reaches all others of the set.
+fn largest_circle(imports: &Imports) -> BTreeSet<String> {
+    let reached: BTreeMap<&String, BTreeSet<String>> = imports
+        .keys()
+        .map(|module| (module, reachable(imports, module)))
+        .collect();
+    let circle = |module: &String| -> BTreeSet<String> {
+        let mutual = reached[module]
+            .iter()
+            .filter(|other| reached.get(other).is_some_and(|r| r.contains(module)));
+        mutual.cloned().collect()
+    };
+    let circles = imports.keys().map(circle);
+    circles.max_by_key(BTreeSet::len).unwrap_or_default()
+}
+
+#[test]
+fn the_circle_of_imports_does_not_grow() {
+    let circle = largest_circle(&imports());
+    assert!(
+        circle.len() <= LARGEST_CIRCLE,
+        "{} modules import one another: {circle:?}",
+        circle.len()
+    );
+}
+
+#[test]
+fn a_circle_is_found_where_there_is_one() {
+    let set = |names: &[&str]| names.iter().map(|name| name.to_string()).collect();
+    let planted = Imports::from([
+        ("a".to_owned(), set(&["b"])),
+        ("b".to_owned(), set(&["c"])),
+        ("c".to_owned(), set(&["a", "d"])),
+        ("d".to_owned(), set(&[])),
+    ]);
+    assert_eq!(largest_circle(&planted), set(&["a", "b", "c"]));
+    let import = "super::{ job::{JobId, JobSpec}, leader::Leader, }";
+    assert_eq!(names_after(import, "super::"), set(&["", "job", "leader"]));
+}
+
+#[test]
+fn no_file_of_the_core_grows_too_long() {
+    for (file, text) in core_files() {
+        let known = LONG_FILES.iter().find(|(name, _)| *name == file);
+        let most = known.map_or(FILE_MOST, |(_, most)| *most);
+        let lines = text.lines().count();
+        assert!(lines <= most, "{file} has {lines} lines, at most {most}");
+    }
+}
