--- a/crates/scale-test/src/report.rs
+++ b/crates/scale-test/src/report.rs
@@ -93,6 +93,10 @@
         name: "state: bytes stored at the end",
         of: |r| r.state.bytes as f64,
     },
+    Measure {
+        name: "state: bytes of the largest value",
+        of: |r| r.state.largest_value as f64,
+    },
     Measure {
         name: "cloud: requests a second",
         of: |r| r.cloud.requests_per_s,
--- a/crates/scale-test/src/result.rs
+++ b/crates/scale-test/src/result.rs
@@ -53,6 +53,10 @@
     pub bytes_sent_per_s: f64,
     pub keys: usize,
     pub bytes: usize,
+    /// Bytes of the largest value at the end of what was measured. Results of earlier builds
+    /// don't tell it.
+    #[serde(default)]
+    pub largest_value: usize,
     /// Since the start of the run.
     pub counts: StateCounts,
 }
--- a/crates/scale-test/src/run.rs
+++ b/crates/scale-test/src/run.rs
@@ -24,7 +24,7 @@
     jobs::Jobs,
     observer::Observer,
     procfs,
-    result::{RunResult, StateResult, TasksResult, UsersResult},
+    result::{RunResult, TasksResult, UsersResult},
     snapshot::{FleetNumbers, Snapshot, UserNumbers, Window, process_result},
     users::Users,
 };
@@ -221,6 +221,7 @@
                 .map(|answered| answered.load(Ordering::Relaxed))
                 .collect(),
             state: self.state.counts(),
+            stored: self.state.size(),
             cloud: self.cloud.counts(),
             fleet: FleetNumbers {
                 reports: fleet.reports.load(Ordering::Relaxed),
@@ -252,7 +253,6 @@
             seconds: (last.at - first.at).as_secs_f64(),
         };
         let leader = window.leader();
-        let (keys, bytes) = self.state.size();
         let observed = self.observer.observed();
         let workers = self.config.fleet.workers as f64;
         let load = &self.config.load;
@@ -263,11 +263,7 @@
             leader: window.controller(leader),
             followers: window.followers(leader),
             controllers_ended: self.ended.clone(),
-            state: StateResult {
-                keys,
-                bytes,
-                ..window.state()
-            },
+            state: window.state(),
             cloud: window.cloud(),
             workers: window.workers(workers),
             users: UsersResult {
--- a/crates/scale-test/src/snapshot.rs
+++ b/crates/scale-test/src/snapshot.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use kiteyard_stand_ins::{cloud::CloudCounts, state::StateCounts};
+use kiteyard_stand_ins::{
+    cloud::CloudCounts,
+    state::{StateCounts, StateSize},
+};
 
 use crate::{
     procfs::ProcessSample,
@@ -16,6 +19,7 @@
     pub harness: ProcessSample,
     pub answered_by: Vec<u64>,
     pub state: StateCounts,
+    pub stored: StateSize,
     pub cloud: CloudCounts,
     pub fleet: FleetNumbers,
     pub users: UserNumbers,
@@ -99,8 +103,9 @@
             refused_per_s: self.rate(|at| at.state.refused_requests + at.state.refused_changes),
             bytes_received_per_s: self.rate(|at| at.state.bytes_received),
             bytes_sent_per_s: self.rate(|at| at.state.bytes_sent),
-            keys: 0,
-            bytes: 0,
+            keys: self.last.stored.keys,
+            bytes: self.last.stored.bytes,
+            largest_value: self.last.stored.largest_value,
             counts: self.last.state,
         }
     }
--- a/crates/stand-ins/src/state.rs
+++ b/crates/stand-ins/src/state.rs
@@ -56,6 +56,15 @@
     pub bytes_sent: u64,
 }
 
+/// What is stored.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct StateSize {
+    pub keys: usize,
+    /// Of keys and values.
+    pub bytes: usize,
+    pub largest_value: usize,
+}
+
 #[derive(Default)]
 struct Counters {
     requests: AtomicU64,
@@ -258,10 +267,13 @@
         }
     }
 
-    /// Keys, and bytes of keys and values.
-    pub fn size(&self) -> (usize, usize) {
+    pub fn size(&self) -> StateSize {
         let inner = self.inner();
-        (inner.store.len(), inner.store.bytes())
+        StateSize {
+            keys: inner.store.len(),
+            bytes: inner.store.bytes(),
+            largest_value: inner.store.largest_value(),
+        }
     }
 
     fn inner(&self) -> MutexGuard<'_, Inner> {
--- a/crates/stand-ins/src/store.rs
+++ b/crates/stand-ins/src/store.rs
@@ -112,6 +112,12 @@
         sizes.sum()
     }
 
+    /// Bytes of the largest value.
+    pub fn largest_value(&self) -> usize {
+        let sizes = self.keys.values().map(|stored| stored.value.get().len());
+        sizes.max().unwrap_or(0)
+    }
+
     pub fn get(&self, key: &str) -> Option<Item> {
         self.keys.get(key).map(|stored| item(key, stored))
     }
