--- a/crates/scale-test/src/report.rs
+++ b/crates/scale-test/src/report.rs
@@ -7,6 +7,9 @@
     result::RunResult,
 };
 
+/// A line goes through any two points: their error says nothing.
+const TWO_POINTS: usize = 2;
+
 /// What the points are placed by.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Axis {
@@ -216,18 +219,21 @@
             .filter(|point| point.y.is_finite())
             .collect();
         if let Some(line) = fit(&points) {
-            text.push_str(&slope_row(measure.name, &line, target));
+            let error = match points.len() {
+                TWO_POINTS => "two points".to_owned(),
+                _ => rounded(line.largest_error),
+            };
+            text.push_str(&slope_row(measure.name, &line, &error, target));
         }
     }
     text
 }
 
-fn slope_row(name: &str, line: &Line, target: Option<f64>) -> String {
+fn slope_row(name: &str, line: &Line, error: &str, target: Option<f64>) -> String {
     let mut row = format!(
-        "| {name} | {} | {} | {} |",
+        "| {name} | {} | {} | {error} |",
         rounded(line.slope * 1000.0),
         rounded(line.offset),
-        rounded(line.largest_error)
     );
     if let Some(target) = target {
         let _ = write!(row, " {} |", rounded(line.at(target)));
--- a/crates/scale-test/tests/measures.rs
+++ b/crates/scale-test/tests/measures.rs
@@ -6,6 +6,8 @@
     fit::{Point, fit},
     latency::Latencies,
     procfs,
+    report::{Axis, report},
+    result::RunResult,
 };
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 
@@ -101,3 +103,28 @@
     let own = procfs::sample(std::process::id()).expect("this process");
     assert!(own.resident_kb > 0 && own.peak_resident_kb >= own.resident_kb);
 }
+
+#[test]
+fn a_line_through_two_points_claims_no_error() {
+    let results = ["cell-1000", "cell-2000", "cell-4000"].map(|name| {
+        let path = format!("../../docs/capacity/{name}-workers.json");
+        let text = std::fs::read_to_string(path).expect("a kept result");
+        serde_json::from_str::<RunResult>(&text).expect("results of earlier builds are read")
+    });
+    let rows = |results: &[RunResult]| {
+        let text = report(results, Axis::Workers, Some(13_000.0));
+        let row = text
+            .lines()
+            .find(|line| line.starts_with("| leader: cores"));
+        row.expect("a row for the leader's cores").to_owned()
+    };
+    assert!(rows(&results[..2]).contains("| two points |"));
+    let row = rows(&results);
+    let line = fit(&results.map(|result| Point {
+        x: result.config.fleet.workers as f64,
+        y: result.leader.cores,
+    }));
+    let line = line.expect("three points");
+    let told = format!("| {:.4} | {:.4} |", line.slope * 1000.0, line.offset);
+    assert!(row.contains(&told), "{row}");
+}
