A team's limit shared between cells: leased loans as a pure state machine, unused yet

Cause: limits between cells have to hold through cuts by construction (docs/design/scale.md). Change: crates/quota, one state machine for a cell, team and resource: shares, loans, division, a record that is lost, writes whose answer is lost. Nothing uses it, so deployments are as before.

--- /dev/null
+++ b/crates/quota/src/cell.rs
@@ -0,0 +1,502 @@
+//! The state machine of one cell's leader, for one team and resource.
+//!
+//! The caller stores the record, on condition of its revision *and* of the leader's claim, carries
+//! messages, and asks [`Cell::limit`] before each start; tasks over it are to be stopped, and are
+//! gone within the lapse lead. One write is under way at a time. Nothing is said, and no unit is
+//! used that a write brings, before the write is known to be stored.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::SystemTime;
+
+use crate::Units;
+use crate::division::divide;
+use crate::error::{ConfigError, Refusal};
+use crate::ledger::{Record, Share};
+use crate::loan::{CellId, LoanId, RecordId, Terms};
+use crate::message::{Ask, Holdings, Message};
+
+/// The revision of a stored record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Revision(pub u64);
+
+/// What a write depends on, beside the leader's claim.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Condition {
+    Absent,
+    Unchanged(Revision),
+}
+
+/// What the team's tasks take in this cell, and would take.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Load {
+    /// An upper bound on what its tasks really take, at this instant.
+    pub in_use: Units,
+    /// What they would take if all were placed that could be.
+    pub wanted: Units,
+    /// How much of the team's guarantee is unmet here.
+    pub unmet_guarantee: Units,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Input {
+    /// The answer to [`Output::Read`].
+    Found {
+        record: Record,
+        revision: Revision,
+    },
+    /// The answer to [`Output::Read`]: no record. The id must be greater than any earlier one,
+    /// as the state service's revision at the read is.
+    Absent {
+        fresh: RecordId,
+    },
+    /// The term of every former leader is over, and what it started is in [`Load::in_use`].
+    Settled,
+    /// Once a round of the leader.
+    Poll(Load),
+    Received {
+        from: CellId,
+        message: Message,
+    },
+    /// The write is stored.
+    Stored {
+        revision: Revision,
+    },
+    /// The write's condition failed.
+    Conflict,
+    /// The write's or the read's answer is lost: a write may be stored, now or later.
+    Unclear,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Output {
+    Read,
+    Store {
+        record: Record,
+        condition: Condition,
+    },
+    Send {
+        to: CellId,
+        message: Message,
+    },
+    /// A message changed nothing; for logs and metrics.
+    Refused {
+        from: CellId,
+        refusal: Refusal,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Versioned {
+    record: Record,
+    revision: Revision,
+}
+
+/// How far a write has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Progress {
+    InFlight,
+    /// The answer was lost: it may still be stored, so it is repeated if the record is unchanged.
+    Unclear,
+    /// The condition failed: it will never be stored.
+    Failed,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Write {
+    next: Record,
+    progress: Progress,
+}
+
+/// What a cell is by configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Config {
+    pub id: CellId,
+    pub share: Share,
+    pub terms: Terms,
+    pub peers: BTreeSet<CellId>,
+}
+
+/// One leader's view of its cell's record. A new leader starts a new one.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Cell {
+    config: Config,
+    known: Option<Versioned>,
+    write: Option<Write>,
+    settled: bool,
+    asks: BTreeMap<CellId, Ask>,
+    /// Borrowed loans that their lenders want back.
+    recalled: BTreeSet<LoanId>,
+    /// Lent loans that this cell wants back.
+    recalling: BTreeSet<LoanId>,
+    next_exchange: Option<SystemTime>,
+}
+
+impl Cell {
+    /// A leader that has just claimed. It reads the record first.
+    pub fn new(config: Config) -> Result<(Cell, Output), ConfigError> {
+        let Config {
+            id: cell,
+            share: Share { base, guarantee },
+            ref terms,
+            ref peers,
+        } = config;
+        if guarantee > base {
+            return Err(ConfigError::GuaranteeOverBase {
+                cell,
+                guarantee,
+                base,
+            });
+        }
+        if terms.term <= terms.lapse_lead + 2 * terms.clock_bound {
+            return Err(ConfigError::TermTooShort);
+        }
+        if peers.contains(&cell) {
+            return Err(ConfigError::OwnPeer(cell));
+        }
+        let cell = Cell {
+            config,
+            known: None,
+            write: None,
+            settled: false,
+            asks: BTreeMap::new(),
+            recalled: BTreeSet::new(),
+            recalling: BTreeSet::new(),
+            next_exchange: None,
+        };
+        Ok((cell, Output::Read))
+    }
+
+    /// What the team's tasks may take now: the least that any record allows that may be the
+    /// stored one. Nothing before the record was read: then no task is started, nor stopped.
+    pub fn limit(&self, now: SystemTime) -> Option<Units> {
+        let known = self.known.iter().map(|known| &known.record);
+        let next = self.write.iter().map(|write| &write.next);
+        known
+            .chain(next)
+            .map(|record| self.limit_of(record, now))
+            .min()
+    }
+
+    /// The record, where no write is under way.
+    pub fn record(&self) -> Option<&Record> {
+        let known = self.known.as_ref().filter(|_| self.write.is_none());
+        known.map(|known| &known.record)
+    }
+
+    pub fn step(&mut self, now: SystemTime, input: Input) -> Vec<Output> {
+        match input {
+            Input::Found { record, revision } => self.found(record, revision),
+            Input::Absent { fresh } => self.absent(now, fresh),
+            Input::Settled => {
+                self.settled = true;
+                Vec::new()
+            }
+            Input::Poll(load) => self.poll(now, load),
+            Input::Received { from, message } => match self.received(now, from, message) {
+                Ok(outputs) => outputs,
+                Err(refusal) => vec![Output::Refused { from, refusal }],
+            },
+            Input::Stored { revision } => self.stored(revision),
+            Input::Conflict => self.undecided(Progress::Failed),
+            Input::Unclear => self.undecided(Progress::Unclear),
+        }
+    }
+
+    fn limit_of(&self, record: &Record, now: SystemTime) -> Units {
+        record.limit(&self.config.share, &self.config.terms, now, &self.recalled)
+    }
+
+    // The stored record.
+
+    fn found(&mut self, record: Record, revision: Revision) -> Vec<Output> {
+        let Some(write) = &mut self.write else {
+            return match self.known {
+                None => self.adopt(record, revision),
+                Some(_) => Vec::new(),
+            };
+        };
+        if self
+            .known
+            .as_ref()
+            .is_none_or(|known| known.revision != revision)
+        {
+            return self.adopt(record, revision);
+        }
+        match write.progress {
+            Progress::InFlight => Vec::new(),
+            Progress::Failed => {
+                self.write = None;
+                Vec::new()
+            }
+            Progress::Unclear => {
+                write.progress = Progress::InFlight;
+                let record = write.next.clone();
+                vec![Output::Store {
+                    record,
+                    condition: Condition::Unchanged(revision),
+                }]
+            }
+        }
+    }
+
+    fn absent(&mut self, now: SystemTime, fresh: RecordId) -> Vec<Output> {
+        if self.record().is_some() {
+            return Vec::new();
+        }
+        let record = Record::after_loss(fresh, now, &self.config.terms);
+        self.write = Some(Write {
+            next: record.clone(),
+            progress: Progress::InFlight,
+        });
+        vec![Output::Store {
+            record,
+            condition: Condition::Absent,
+        }]
+    }
+
+    fn stored(&mut self, revision: Revision) -> Vec<Output> {
+        match self.write.take() {
+            Some(write) => self.adopt(write.next, revision),
+            None => Vec::new(),
+        }
+    }
+
+    /// A write has failed, or nobody knows: the record is read again before anything is said.
+    fn undecided(&mut self, progress: Progress) -> Vec<Output> {
+        match &mut self.write {
+            Some(write) if write.progress == Progress::InFlight => write.progress = progress,
+            Some(_) => {}
+            None if self.known.is_none() => {}
+            None => return Vec::new(),
+        }
+        vec![Output::Read]
+    }
+
+    fn adopt(&mut self, record: Record, revision: Revision) -> Vec<Output> {
+        self.write = None;
+        let before = self.known.replace(Versioned {
+            record: record.clone(),
+            revision,
+        });
+        self.recalled.retain(|id| record.borrowed.contains_key(id));
+        self.recalling.retain(|id| record.lent.contains_key(id));
+        announcements(
+            before.as_ref().map(|known| &known.record),
+            &record,
+            &self.config.peers,
+        )
+    }
+
+    /// Writes a record that differs from the known one.
+    fn store(&mut self, next: Record) -> Vec<Output> {
+        let Some(known) = &self.known else {
+            return Vec::new();
+        };
+        if next == known.record {
+            return Vec::new();
+        }
+        let condition = Condition::Unchanged(known.revision);
+        self.write = Some(Write {
+            next: next.clone(),
+            progress: Progress::InFlight,
+        });
+        vec![Output::Store {
+            record: next,
+            condition,
+        }]
+    }
+
+    // Messages.
+
+    fn received(
+        &mut self,
+        now: SystemTime,
+        from: CellId,
+        message: Message,
+    ) -> Result<Vec<Output>, Refusal> {
+        if !self.config.peers.contains(&from) {
+            return Err(Refusal::UnknownPeer);
+        }
+        let Some(mut next) = self.record().cloned() else {
+            return Err(Refusal::Busy);
+        };
+        let terms = &self.config.terms;
+        match message {
+            Message::Ask(ask) => {
+                self.asks.insert(from, ask);
+                Ok(Vec::new())
+            }
+            Message::Recall(loan) => {
+                if !next.borrowed.contains_key(&loan) {
+                    return Err(Refusal::OldLoan);
+                }
+                self.recalled.insert(loan);
+                Ok(Vec::new())
+            }
+            Message::Grant(grant) => {
+                next.take(&grant, now, terms)?;
+                let renewed = next != *self.record().ok_or(Refusal::Busy)?;
+                if renewed {
+                    self.recalled.remove(&grant.loan);
+                }
+                Ok(self.store(next))
+            }
+            Message::Holdings(holdings) => {
+                let mut outputs = repeated_grants(&next, from, &holdings);
+                next.reconcile(from, &holdings);
+                next.renew(from, &holdings, &self.recalling, now, terms);
+                outputs.extend(self.store(next));
+                Ok(outputs)
+            }
+        }
+    }
+
+    // The leader's round.
+
+    fn poll(&mut self, now: SystemTime, load: Load) -> Vec<Output> {
+        let Some(mut next) = self.record().cloned() else {
+            return Vec::new();
+        };
+        let mut outputs = Vec::new();
+        if self.next_exchange.is_none_or(|at| now >= at) {
+            self.next_exchange = Some(now + self.config.terms.interval);
+            outputs.extend(self.exchange(&next, now, load));
+        }
+        next.expire(now, &self.config.terms);
+        if self.settled {
+            self.return_loans(&mut next, now, load);
+            self.lend(&mut next, now, load);
+        }
+        self.asks.clear();
+        outputs.extend(self.store(next));
+        outputs
+    }
+
+    /// Tells each peer what is held of it, and asks for what is missing.
+    fn exchange(&mut self, record: &Record, now: SystemTime, load: Load) -> Vec<Output> {
+        let missing = load.wanted.saturating_sub(self.limit_of(record, now));
+        self.recalling = self.wanted_back(record, now, missing);
+        let mut outputs = Vec::new();
+        for &to in &self.config.peers {
+            let message = Message::Holdings(record.holdings(to));
+            outputs.push(Output::Send { to, message });
+            if missing > 0 {
+                let unmet_guarantee = load.unmet_guarantee.min(missing);
+                let ask = Ask {
+                    record: record.id,
+                    units: missing,
+                    unmet_guarantee,
+                };
+                outputs.push(Output::Send {
+                    to,
+                    message: Message::Ask(ask),
+                });
+            }
+        }
+        for loan in &self.recalling {
+            if let Some(lent) = record.lent.get(loan) {
+                let message = Message::Recall(*loan);
+                outputs.push(Output::Send {
+                    to: lent.borrower,
+                    message,
+                });
+            }
+        }
+        outputs
+    }
+
+    /// The newest loans, none before its time, that together bring what is missing.
+    fn wanted_back(&self, record: &Record, now: SystemTime, missing: Units) -> BTreeSet<LoanId> {
+        let hold = self.config.terms.hold;
+        let mut left = missing;
+        let mut wanted = BTreeSet::new();
+        for (id, loan) in record.lent.iter().rev() {
+            if left > 0 && now >= loan.since + hold {
+                left = left.saturating_sub(loan.units);
+                wanted.insert(*id);
+            }
+        }
+        wanted
+    }
+
+    /// Gives back what is not needed, and of what is recalled or lapsing whatever is not in use.
+    /// What is in use counts against the loans that end last: a task that rests on a recalled loan
+    /// may outlast another loan's end.
+    fn return_loans(&self, next: &mut Record, now: SystemTime, load: Load) {
+        let limit = self.limit_of(next, now);
+        let mut still_used = load.in_use.saturating_sub(limit);
+        let mut surplus = limit.saturating_sub(load.in_use.max(load.wanted));
+        let mut loans: Vec<_> = next.borrowed.clone().into_iter().collect();
+        loans.sort_by_key(|(id, loan)| (Reverse(loan.end), *id));
+        for (id, loan) in loans {
+            let ending = self.config.terms.lapsing(now, loan.end) || self.recalled.contains(&id);
+            let returned = if ending {
+                let kept = loan.units.min(still_used);
+                still_used -= kept;
+                loan.units - kept
+            } else {
+                loan.units.min(surplus)
+            };
+            if !ending {
+                surplus -= returned;
+            }
+            next.give_back(&id, returned);
+        }
+    }
+
+    /// Lends what the cell needs neither for its tasks nor for its guarantee. Tasks count against
+    /// the base alone, so that nothing lent rests on what was borrowed.
+    fn lend(&self, next: &mut Record, now: SystemTime, load: Load) {
+        let Config {
+            id, share, terms, ..
+        } = &self.config;
+        let kept = load.in_use.max(load.wanted).max(share.guarantee);
+        let free = next.own(share, now).saturating_sub(kept);
+        for (borrower, units) in divide(free, &self.asks) {
+            let record = self.asks[&borrower].record;
+            next.lend(*id, (borrower, record), units, now, terms);
+        }
+    }
+}
+
+/// What a stored record lets the cell say: new grants and renewals, and changed holdings.
+fn announcements(before: Option<&Record>, after: &Record, peers: &BTreeSet<CellId>) -> Vec<Output> {
+    let mut outputs = Vec::new();
+    for (id, lent) in &after.lent {
+        let grant = after.grant(id);
+        let said = before.and_then(|before| before.grant(id));
+        if let Some(grant) = grant.filter(|grant| Some(grant.end) != said.map(|said| said.end)) {
+            let message = Message::Grant(grant);
+            outputs.push(Output::Send {
+                to: lent.borrower,
+                message,
+            });
+        }
+    }
+    for &to in peers {
+        let holdings = after.holdings(to);
+        if before.is_none_or(|before| before.holdings(to) != holdings) {
+            outputs.push(Output::Send {
+                to,
+                message: Message::Holdings(holdings),
+            });
+        }
+    }
+    outputs
+}
+
+/// Grants that a borrower has not taken yet, as its holdings say.
+fn repeated_grants(record: &Record, from: CellId, holdings: &Holdings) -> Vec<Output> {
+    let waiting = record.lent.iter().filter(|(id, loan)| {
+        let same = (loan.borrower, loan.borrower_record) == (from, holdings.record);
+        same && holdings.newest.is_none_or(|newest| newest < **id)
+    });
+    let grants = waiting.filter_map(|(id, _)| record.grant(id));
+    grants
+        .map(|grant| Output::Send {
+            to: from,
+            message: Message::Grant(grant),
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/quota/tests/ledger.rs
@@ -0,0 +1,189 @@
+//! Cells against a plain ledger that knows everything, with polls, losses of messages and a heal.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::{Duration, SystemTime};
+
+use kiteyard_quota::Units;
+use kiteyard_quota::cell::{Cell, Config, Input, Load, Output, Revision};
+use kiteyard_quota::division::divide;
+use kiteyard_quota::ledger::{Record, Share, check_shares};
+use kiteyard_quota::loan::{CellId, RecordId, Terms};
+use kiteyard_quota::message::{Ask, Message};
+use proptest::prelude::*;
+
+const CELLS: u16 = 3;
+const BASE: Units = 10;
+const GUARANTEE: Units = 3;
+const INTERVAL: u64 = 5;
+/// Rounds of messages after a heal until every base is back: a grant that was lost is sent again, taken,
+/// returned, and the return is heard.
+const ROUNDS_TO_RETURN: u64 = 3;
+
+struct Cells {
+    seconds: u64,
+    cells: Vec<Cell>,
+    mail: VecDeque<(CellId, CellId, Message)>,
+    revisions: u64,
+}
+
+impl Cells {
+    fn new() -> Cells {
+        let seconds = Duration::from_secs;
+        let terms = Terms {
+            term: seconds(900),
+            lapse_lead: seconds(67),
+            clock_bound: seconds(1),
+            interval: seconds(INTERVAL),
+            hold: seconds(60),
+        };
+        let share = Share {
+            base: BASE,
+            guarantee: GUARANTEE,
+        };
+        let mut all = Cells {
+            seconds: 0,
+            cells: Vec::new(),
+            mail: VecDeque::new(),
+            revisions: 0,
+        };
+        for id in 0..CELLS {
+            let peers = (0..CELLS).filter(|peer| *peer != id).map(CellId).collect();
+            let config = Config {
+                id: CellId(id),
+                share,
+                terms: terms.clone(),
+                peers,
+            };
+            all.cells
+                .push(Cell::new(config).expect("a sound configuration").0);
+            let record = Record::first(RecordId(1));
+            all.step(
+                id,
+                Input::Found {
+                    record,
+                    revision: Revision(0),
+                },
+            );
+            all.step(id, Input::Settled);
+        }
+        all
+    }
+
+    fn now(&self) -> SystemTime {
+        SystemTime::UNIX_EPOCH + Duration::from_secs(10_000 + self.seconds)
+    }
+
+    fn step(&mut self, cell: u16, input: Input) {
+        let now = self.now();
+        for output in self.cells[usize::from(cell)].step(now, input) {
+            match output {
+                Output::Store { .. } => {
+                    self.revisions += 1;
+                    self.step(
+                        cell,
+                        Input::Stored {
+                            revision: Revision(self.revisions),
+                        },
+                    );
+                }
+                Output::Send { to, message } => self.mail.push_back((to, CellId(cell), message)),
+                Output::Read | Output::Refused { .. } => {}
+            }
+        }
+    }
+
+    /// A second: each cell's round at its wish, then the mail, of which some is lost.
+    fn second(&mut self, wanted: &[Units], lost: u8) {
+        self.seconds += 1;
+        for cell in 0..CELLS {
+            let limit = self.cells[usize::from(cell)]
+                .limit(self.now())
+                .expect("a known record");
+            let wanted = wanted[usize::from(cell)];
+            self.step(
+                cell,
+                Input::Poll(Load {
+                    in_use: wanted.min(limit),
+                    wanted,
+                    unmet_guarantee: 0,
+                }),
+            );
+        }
+        for letter in 0..self.mail.len() {
+            let (to, from, message) = self.mail.pop_front().expect("a letter");
+            if (letter * 7 + self.seconds as usize) % 10 >= usize::from(lost) {
+                self.step(to.0, Input::Received { from, message });
+            }
+        }
+    }
+
+    fn limits(&self) -> Vec<Units> {
+        self.cells
+            .iter()
+            .map(|cell| cell.limit(self.now()).expect("a known record"))
+            .collect()
+    }
+
+    fn lent(&self) -> Units {
+        let records = self.cells.iter().filter_map(Cell::record);
+        records
+            .flat_map(|record| record.lent.values())
+            .map(|loan| loan.units)
+            .sum()
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 128, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
+
+    #[test]
+    fn limits_add_up_and_bases_come_back(
+        phases in prop::collection::vec((prop::collection::vec(0..40u64, 3), 0..=10u8, 1..200u64), 1..6)
+    ) {
+        let mut cells = Cells::new();
+        for (wanted, lost, seconds) in phases {
+            for _ in 0..seconds {
+                cells.second(&wanted, lost);
+                let limits = cells.limits();
+                prop_assert!(limits.iter().sum::<Units>() <= BASE * Units::from(CELLS), "{limits:?}");
+                prop_assert!(limits.iter().all(|limit| *limit >= GUARANTEE));
+            }
+        }
+        for _ in 0..ROUNDS_TO_RETURN * INTERVAL {
+            cells.second(&[0, 0, 0], 0);
+        }
+        prop_assert_eq!(cells.lent(), 0);
+        prop_assert_eq!(cells.limits(), vec![BASE; CELLS.into()]);
+    }
+
+    #[test]
+    fn division_gives_no_more_than_is_free(free in 0..100u64, asks in prop::collection::btree_map(0..9u16, (0..50u64, 0..50u64), 0..6)) {
+        let ask = |(units, unmet_guarantee)| Ask { record: RecordId(1), units, unmet_guarantee };
+        let asks: BTreeMap<_, _> = asks.into_iter().map(|(cell, asked)| (CellId(cell), ask(asked))).collect();
+        let parts = divide(free, &asks);
+        let given: Units = parts.iter().map(|part| part.1).sum();
+        let asked: Units = asks.values().map(|ask| ask.units).sum();
+        prop_assert_eq!(given, free.div_ceil(2).min(asked));
+        prop_assert!(parts.iter().all(|(cell, units)| *units <= asks[cell].units));
+        prop_assert_eq!(parts.iter().map(|part| part.0).collect::<BTreeSet<_>>().len(), parts.len());
+    }
+}
+
+#[test]
+fn shares_over_the_limit_are_refused() {
+    let shares = |base| {
+        BTreeMap::from([
+            (CellId(0), Share { base, guarantee: 1 }),
+            (
+                CellId(1),
+                Share {
+                    base: 2,
+                    guarantee: 1,
+                },
+            ),
+        ])
+    };
+    assert!(check_shares(5, &shares(3)).is_ok());
+    assert!(check_shares(5, &shares(4)).is_err());
+    assert!(check_shares(5, &shares(0)).is_err());
+}
