Waiting jobs are tried again wherever room or a limit falls free without an end

Cause: a parked job came back to the heap with an end or a machine that came up, but not - when a machine that was silent for a few reports was heard again within its lease, - when a zone that was stored as apart was reopened, - when late starts went out and a shut admission opened, - when room was held by nomination for a job whose team had come to its limit. And a waiting task that several silent machines list counted once for each of them against its team's limit.

Change: what a pass makes of a machine (usable, unresolved) is compared before and after a report; a change of the withheld zones requeues; a shut admission and dropped nominations are tried again by time; usage moves to sched/usage.rs, where a waiting task counts once.

--- a/src/core/apart.rs
+++ b/src/core/apart.rs
@@ -197,7 +197,13 @@
             return;
         };
         if !listed.is_empty() || !unsure.is_empty() || !leader.withheld.is_empty() {
-            leader.withheld = listed.keys().chain(unsure).cloned().collect();
+            let withheld: BTreeSet<Arc<str>> = listed.keys().chain(unsure).cloned().collect();
+            // The machines of a zone that was reopened have not changed: none of their
+            // reports would bring the waiting jobs back to the heap.
+            if withheld != leader.withheld {
+                leader.withheld = withheld;
+                leader.requeue();
+            }
         }
         if self.apart.writing || now < self.apart.retry {
             return;
--- a/src/core/flow.rs
+++ b/src/core/flow.rs
@@ -191,9 +191,14 @@
         }
         let starts = self.flow.lately(now);
         let mut sum = 0;
-        Priority::ALL.into_iter().rev().find(|priority| {
+        let shut = Priority::ALL.into_iter().rev().find(|priority| {
             sum += late[*priority as usize];
             sum > starts
-        })
+        });
+        if shut.is_some() {
+            // Starts are confirmed, and late ones go out, without an end of any task.
+            self.retry_by(now + span);
+        }
+        shut
     }
 }
--- a/src/core/leader.rs
+++ b/src/core/leader.rs
@@ -314,7 +314,9 @@
             return None;
         }
         let token = self.token;
-        let machine = self.meet(&id, &report.machine_type, &report.zone, report.spot, now);
+        self.meet(&id, &report.machine_type, &report.zone, report.spot, now);
+        let before = self.availability(&id, now);
+        let machine = self.machines.get_mut(&id)?;
         // A report of a session that is over, or older than one seen already,
         // was held back on its way; nobody waits for its answer.
         let late = report.session <= machine.dead_session
@@ -330,7 +332,6 @@
             machine.report_seq = 0;
             machine.content_seq = 0;
         }
-        let was_up = machine.standing == Standing::Up && machine.fenced;
         machine.addr = Some(report.addr);
         machine.heard_at = Some(now);
         machine.mute = false;
@@ -343,9 +344,7 @@
         // Only a worker that knows this leader's token has answered after the
         // claim: an older report could have been overtaken by a start.
         machine.fenced = report.token >= token;
-        if machine.fenced && machine.unresolved {
-            machine.unresolved = false;
-        }
+        machine.unresolved &= !machine.fenced;
         if let Some(notice) = report.notice_s
             && machine.notice_at.is_none()
         {
@@ -353,7 +352,6 @@
             info!(machine = %id, ?notice, "spot notice");
             machine.notice_at = Some(now + notice);
         }
-        let now_up = machine.standing == Standing::Up && machine.fenced;
         if new_session {
             let tasks = self.machines[&id].tasks.len();
             if tasks > 0 {
@@ -368,7 +366,7 @@
             machine.content_seq = report.seq;
             self.take_in(&id, report, true, now);
         }
-        if now_up && !was_up {
+        if self.availability(&id, now) != before {
             self.requeue();
         }
         let machine = self.machines.get_mut(&id)?;
--- a/src/core/queue.rs
+++ b/src/core/queue.rs
@@ -5,12 +5,14 @@
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, HashSet},
+    time::Duration,
 };
 
 use super::{
     Node,
     job::{JobId, Priority},
-    leader::Job,
+    leader::{Job, Leader},
+    machine::MachineId,
 };
 
 /// Highest priority first, then the one accepted first.
@@ -90,6 +92,27 @@
     }
 }
 
+/// What a pass makes of a machine. Where it changes, waiting jobs are tried again.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) struct Availability {
+    /// Tasks may be placed there.
+    usable: bool,
+    /// What it may hold counts against team limits, though nobody has seen it.
+    unresolved: bool,
+}
+
+impl Leader {
+    /// How a pass sees the machine now. One that fell silent is not usable, long before its
+    /// lease is over, and neither is one of a zone that is cut off.
+    pub(super) fn availability(&self, id: &MachineId, now: Duration) -> Option<Availability> {
+        let machine = self.machines.get(id)?;
+        Some(Availability {
+            usable: self.usable(machine, now),
+            unresolved: machine.unresolved,
+        })
+    }
+}
+
 impl Node {
     /// A job with waiting tasks that neither the heap nor the list holds: nothing would
     /// ever look at it again. There is none.
--- a/src/core/sched.rs
+++ b/src/core/sched.rs
@@ -1,6 +1,7 @@
 //! Placement: fits without victims first, then preemption and nominations.
 
 mod gangs;
+mod usage;
 
 use std::{
     cmp::Reverse,
@@ -16,7 +17,7 @@
 use super::{
     job::{JobId, JobSpec, Kind, Priority, Resources, TaskId},
     leader::Leader,
-    machine::{Machine, MachineId, Placement, Standing},
+    machine::{Machine, MachineId, Standing},
     room::{Hopeless, Room, Usage, View, listed_by_silent},
     squaring::Order,
 };
@@ -27,6 +28,9 @@
 /// How soon a job that waits for a seat is tried again.
 const SEATS_AGAIN: Duration = Duration::from_secs(1);
 
+/// How soon waiting jobs are tried again after room was held no longer.
+const HELD_AGAIN: Duration = Duration::from_secs(1);
+
 /// Victims on one machine.
 struct Plan {
     room: usize,
@@ -88,7 +92,7 @@
                 }
             }
             let Some(id) = self.queue.pop() else { break };
-            if self.waits(&view, &id, now) {
+            if self.waits(&mut view, &id, now) {
                 self.queue.park(id);
             } else if self
                 .jobs
@@ -104,7 +108,7 @@
     }
 
     /// Whether nothing is to be tried for the job in this pass.
-    fn waits(&mut self, view: &View, id: &JobId, now: Duration) -> bool {
+    fn waits(&mut self, view: &mut View, id: &JobId, now: Duration) -> bool {
         let Some(job) = self.jobs.get(id) else {
             return false;
         };
@@ -131,6 +135,8 @@
         if near && let Some(job) = self.jobs.get_mut(id) {
             job.passed_over.get_or_insert(now);
         }
+        // What was freed for it is not kept from others meanwhile.
+        self.drop_spent(view, id, now);
         true
     }
 
@@ -144,7 +150,7 @@
     }
 
     /// The parked are tried again by then at the latest.
-    fn retry_by(&mut self, at: Duration) {
+    pub(super) fn retry_by(&mut self, at: Duration) {
         let next = self.next_retry.unwrap_or(Duration::MAX);
         self.next_retry = Some(next.min(at));
     }
@@ -177,52 +183,7 @@
     }
 
     fn view(&self, now: Duration) -> View {
-        let (mut usage, mut leaving) = (Usage::default(), Usage::default());
-        for machine in self.machines.values() {
-            let held: Vec<&Placement> = machine.tasks.values().filter(|p| !p.exited()).collect();
-            // Tasks of one job stand together: a team is looked up once for all.
-            let alike = |a: &&Placement, b: &&Placement| match (&a.spec, &b.spec) {
-                (Some(a), Some(b)) => Arc::ptr_eq(a, b),
-                _ => false,
-            };
-            for tasks in held.chunk_by(alike) {
-                let Some(spec) = &tasks[0].spec else {
-                    // Whose it is nobody knows any more: it counts for each team.
-                    for team in self.config.teams.keys() {
-                        usage.add(team, &tasks[0].need);
-                    }
-                    continue;
-                };
-                let sum = |count: usize| Resources::default().plus_times(&spec.need, count as f64);
-                usage.add(&spec.team, &sum(tasks.len()));
-                let stopping = tasks.iter().filter(|p| p.stopping()).count();
-                if stopping > 0 {
-                    leaving.add(&spec.team, &sum(stopping));
-                }
-            }
-        }
-        // What silent machines may hold counts as running.
-        for machine in self.machines.values().filter(|m| m.unresolved) {
-            for job in machine.entry.jobs.iter().filter_map(|id| self.jobs.get(id)) {
-                let hidden = job
-                    .waiting_count()
-                    .min(job.spec.need.times_in(&machine.size));
-                let sum = Resources::default().plus_times(&job.spec.need, f64::from(hidden));
-                usage.add(&job.spec.team, &sum);
-            }
-            // A job that was cancelled meanwhile may still run there, and whose it
-            // was nobody knows any more: the machine counts for each team.
-            if machine
-                .entry
-                .jobs
-                .iter()
-                .any(|id| !self.jobs.contains_key(id))
-            {
-                for team in self.config.teams.keys() {
-                    usage.add(team, &machine.size);
-                }
-            }
-        }
+        let (usage, leaving) = self.usage();
         let rooms: Vec<Room> = self
             .machines
             .values()
@@ -300,6 +261,7 @@
         }
         while let Some(index) = self.jobs.get_mut(id).and_then(|j| j.next_waiting()) {
             if self.over_limit(view, spec, 1, now) || self.jobs[id].tries_enough() {
+                self.drop_spent(view, id, now);
                 return false;
             }
             let task = TaskId {
@@ -453,7 +415,7 @@
         spec: &Arc<JobSpec>,
         now: Duration,
     ) -> bool {
-        self.drop_spent(view, id);
+        self.drop_spent(view, id, now);
         if self.room_may_come(spec, Order::Preempt) {
             return false;
         }
@@ -478,7 +440,7 @@
 
     /// A task whose nominated machine still has victims stopping does not
     /// preempt again; one whose victims are gone, and which still did not fit, may.
-    fn drop_spent(&mut self, view: &mut View, id: &JobId) {
+    fn drop_spent(&mut self, view: &mut View, id: &JobId, now: Duration) {
         let machines = &self.machines;
         let job = self.jobs.get_mut(id).expect("job at hand");
         let before = job.nominations.len();
@@ -489,6 +451,8 @@
         });
         if job.nominations.len() != before {
             self.refresh_held(view, id);
+            // Its equals may have had their turn before it.
+            self.retry_by(now + HELD_AGAIN);
         }
     }
 
--- a/src/core/sched/gangs.rs
+++ b/src/core/sched/gangs.rs
@@ -54,7 +54,7 @@
                 return true;
             }
         }
-        self.drop_spent(view, id);
+        self.drop_spent(view, id, now);
         if self.jobs[id].nominations.is_empty() && !self.room_may_come(spec, Order::Preempt) {
             self.make_room_for_gang(view, id, spec, &tasks, now);
         }
--- /dev/null
+++ b/src/core/sched/usage.rs
@@ -0,0 +1,74 @@
+//! What teams use: tasks that were seen or sent, and those that silent machines may hold.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use super::Leader;
+use crate::core::{
+    job::{JobId, Resources},
+    machine::Placement,
+    room::Usage,
+};
+
+impl Leader {
+    /// What each team's tasks take, and the part of it that is stopping.
+    pub(super) fn usage(&self) -> (Usage, Usage) {
+        let (mut usage, mut leaving) = (Usage::default(), Usage::default());
+        for machine in self.machines.values() {
+            let held: Vec<&Placement> = machine.tasks.values().filter(|p| !p.exited()).collect();
+            // Tasks of one job stand together: a team is looked up once for all.
+            let alike = |a: &&Placement, b: &&Placement| match (&a.spec, &b.spec) {
+                (Some(a), Some(b)) => Arc::ptr_eq(a, b),
+                _ => false,
+            };
+            for tasks in held.chunk_by(alike) {
+                let Some(spec) = &tasks[0].spec else {
+                    // Whose it is nobody knows any more: it counts for each team.
+                    for team in self.config.teams.keys() {
+                        usage.add(team, &tasks[0].need);
+                    }
+                    continue;
+                };
+                let sum = |count: usize| Resources::default().plus_times(&spec.need, count as f64);
+                usage.add(&spec.team, &sum(tasks.len()));
+                let stopping = tasks.iter().filter(|p| p.stopping()).count();
+                if stopping > 0 {
+                    leaving.add(&spec.team, &sum(stopping));
+                }
+            }
+        }
+        self.add_unresolved(&mut usage);
+        (usage, leaving)
+    }
+
+    /// What silent machines may hold counts as running. A waiting task is on one of them at
+    /// most: one that several machines list counts once.
+    fn add_unresolved(&self, usage: &mut Usage) {
+        let mut hidden: BTreeMap<&JobId, u32> = BTreeMap::new();
+        for machine in self.machines.values().filter(|m| m.unresolved) {
+            let mut listed = machine.entry.jobs.iter();
+            // A job that was cancelled meanwhile may still run there, and whose it
+            // was nobody knows any more: the whole machine counts for each team.
+            if listed.any(|id| !self.jobs.contains_key(id)) {
+                for team in self.config.teams.keys() {
+                    usage.add(team, &machine.size);
+                }
+                continue;
+            }
+            for (id, job) in machine
+                .entry
+                .jobs
+                .iter()
+                .filter_map(|id| self.jobs.get_key_value(id))
+            {
+                let tasks = hidden.entry(id).or_default();
+                *tasks = tasks.saturating_add(job.spec.need.times_in(&machine.size));
+            }
+        }
+        for (id, most) in hidden {
+            let job = &self.jobs[id];
+            let tasks = job.waiting_count().min(most);
+            let sum = Resources::default().plus_times(&job.spec.need, f64::from(tasks));
+            usage.add(&job.spec.team, &sum);
+        }
+    }
+}
--- a/tests/scheduling/main.rs
+++ b/tests/scheduling/main.rs
@@ -3,6 +3,7 @@
 
 mod cluster;
 mod fleet;
+mod requeue;
 mod starting;
 
 use std::{
