World: no job left waiting, limits of two teams, ten leaders, with variants caught

An observer counts from the workers' side whether a machine has had room for a waiting job for six leases (90 s at a lease of 15 s); both teams may have a limit. Worlds: both teams at their limits through cut, hung or deaf machines, cancellations and an end of the leader; ten ends of leaders, also inside an outage. Caught: HidesRoom (left_waiting), NoWorkerLease (quota).

--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -7,6 +7,7 @@
 mod draining;
 mod gap;
 mod late;
+mod liveness;
 mod meet;
 mod meetings;
 mod observer;
--- a/tests/world/observer.rs
+++ b/tests/world/observer.rs
@@ -48,6 +48,18 @@
         }
     }
 
+    /// One more team has a limit.
+    pub fn limits(&mut self, team: &str, limit: f64) {
+        self.limits.insert(team.to_owned(), limit);
+    }
+
+    /// What the team may use beside what it uses, counted at the workers.
+    pub fn left_to(&self, team: &str) -> f64 {
+        let used = self.on.values().filter(|r| *r.spec.team == *team);
+        let used: f64 = used.map(|r| r.spec.need.cpus).sum();
+        self.limits.get(team).map_or(f64::MAX, |limit| limit - used)
+    }
+
     pub fn broken(&self) -> Vec<String> {
         self.broken.clone()
     }
--- a/tests/world/sim/mod.rs
+++ b/tests/world/sim/mod.rs
@@ -29,21 +29,22 @@
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 use crate::{
-    between::Between, cases::Case, meetings::Meetings, observer::Observer, rollout::Roll,
-    state::State,
+    between::Between, cases::Case, liveness::Liveness, meetings::Meetings, observer::Observer,
+    rollout::Roll, state::State,
 };
 
 pub use network::Cut;
 pub use sabotage::Sabotage;
 pub use scale::{LARGE, LICENSED, LONG, MEDIUM, SMALL, Scale};
+pub use users::Job;
 pub use workers::{ToWorker, Worker};
 
 use config::settings;
-use users::{Asking, Job};
+use users::Asking;
 
 pub const NODES: usize = 3;
 pub const ZONES: [&str; 3] = ["a", "b", "c"];
-const CPUS: f64 = 8.0;
+pub const CPUS: f64 = 8.0;
 /// Times of day differ by up to this between nodes, in milliseconds, by steps of the other.
 const WALL_MOST: u64 = 450;
 const WALL_OFF: u64 = 200;
@@ -93,7 +94,7 @@
 }
 
 pub struct World {
-    scale: Scale,
+    pub scale: Scale,
     pub now: Duration,
     pub rng: StdRng,
     pub sabotage: Sabotage,
@@ -128,13 +129,14 @@
     booting: BTreeMap<String, (usize, bool, Duration)>,
     rentals: HashMap<String, Vec<Arc<str>>>,
     next_machine: u64,
-    jobs: Vec<Job>,
-    results: BTreeSet<TaskId>,
+    pub jobs: Vec<Job>,
+    pub results: BTreeSet<TaskId>,
     pub cuts: Vec<Cut>,
     pub observer: Observer,
     pub roll: Roll,
     pub between: Between,
     pub meetings: Meetings,
+    pub liveness: Liveness,
 }
 
 impl World {
@@ -179,8 +181,12 @@
             roll: Roll::default(),
             between: Between::default(),
             meetings: Meetings::default(),
+            liveness: Liveness::default(),
             observer: Observer::new(scale.cancel, "red", scale.team_limit, scale.seats),
         };
+        if scale.second_limit > 0.0 {
+            world.observer.limits("blue", scale.second_limit);
+        }
         for node in 0..NODES {
             world.restart(node);
         }
@@ -398,6 +404,7 @@
                 self.observer.tick(self.now);
                 self.look_for_lost();
                 self.look_at_placement();
+                self.look_for_waiting();
             }
             Event::ToNode(node, epoch, input) => {
                 if self.epochs[node] == epoch {
--- a/tests/world/sim/sabotage.rs
+++ b/tests/world/sim/sabotage.rs
@@ -37,6 +37,8 @@
     BelievesVoid,
     /// A report that comes again is taken for a new one.
     BelievesCopies,
+    /// From a time on, machines without tasks report to nobody.
+    HidesRoom,
     /// The leader's term grows with a renewal and the claim, whatever its copy holds.
     RenewalAlone,
 }
--- a/tests/world/sim/scale.rs
+++ b/tests/world/sim/scale.rs
@@ -21,6 +21,8 @@
     /// How many times as long tasks run.
     pub longer: u64,
     pub team_limit: f64,
+    /// The other team's, or none.
+    pub second_limit: f64,
     /// How often a worker looks at what is due.
     pub look: Duration,
     pub value_kb: f64,
@@ -42,6 +44,7 @@
     tasks: 1,
     longer: 1,
     team_limit: 20.0,
+    second_limit: 0.0,
     look: ms(50),
     value_kb: 0.75,
     troubles: 9,
--- a/tests/world/sim/workers.rs
+++ b/tests/world/sim/workers.rs
@@ -15,6 +15,9 @@
 use super::{Asker, CPUS, Event, NODES, Sabotage, World, ZONES, ms};
 use crate::observer::Running;
 
+/// When machines without tasks fall silent, for `Sabotage::HidesRoom`.
+const HIDES_AFTER: Duration = Duration::from_secs(20);
+
 #[derive(Debug)]
 pub enum ToWorker {
     Answer(u64, Answer),
@@ -263,7 +266,8 @@
             worker.node = (worker.node + 1) % NODES;
             worker.next_report = now + ms(1000);
         }
-        if now < worker.next_report {
+        let hides = self.sabotage == Sabotage::HidesRoom && now > HIDES_AFTER;
+        if now < worker.next_report || (hides && worker.tasks.is_empty()) {
             return;
         }
         worker.reports += 1;
