World: mute machines, old reports, late commands, absences and bursts of cancellations

Nine meetings of troubles had no test of their own. Each now has typed cases that are timed by what the nodes do (a claim, a start by a new leader, a start on a new machine), a count of how often the meeting came about, and an unsafe variant that its world catches: NoWorkerLease, CopiesShowNewToken, BelievesCopies, OldTokensCount, RosterWithoutJobs, ForgetEnds, FollowersRenew, SparesHung.

A cancelled task on a machine that hangs was counted already; a variant that spares such machines is caught as ran_cancelled.

--- a/tests/world/cases.rs
+++ b/tests/world/cases.rs
@@ -58,6 +58,22 @@
     HeldCommands,
     /// The leader's own watch tells nothing while users cancel.
     SilentWatch,
+    /// A third of the machines reach no controller; direct commands reach them.
+    Mute,
+    /// Copies of reports are kept, and reach every node as the next leader begins.
+    KeptCopies,
+    /// Reports are held back until a new leader has acted.
+    HeldReports,
+    /// Direct commands are carried out 2 to 16 s late and not answered.
+    LateCommands,
+    /// Users cancel most of what runs, and machines with it hang for that long.
+    CancelBurst,
+    /// Machines are up within two seconds, and the leader ends as they get work.
+    NewMachines,
+    /// All processes end, and are back after that time.
+    AllAway,
+    /// Hand-over and back, all end, and one returns; the others after that time.
+    HandOverAndBack,
     /// A node that does not lead is started again from the old build.
     OldAgain,
     /// Operators want the old forms back.
@@ -141,6 +157,17 @@
                 let names = self.workers.keys().step_by(3).cloned();
                 self.between.deafen(names.collect(), until);
             }
+            Case::Mute => {
+                let names = self.workers.keys().step_by(3).cloned().collect();
+                self.mute.silence(names, self.now, until);
+            }
+            Case::KeptCopies => self.keep_copies(until),
+            Case::HeldReports => self.hold_reports(until),
+            Case::LateCommands => self.delay_commands(until),
+            Case::CancelBurst => self.cancel_burst(lasts),
+            Case::NewMachines => self.new_machines(until),
+            Case::AllAway => self.all_away(lasts),
+            Case::HandOverAndBack => self.hand_over_and_back(lasts),
             Case::Copies => self.between.copies_until = until,
             Case::LeaderApart => self.node_apart(leader, until),
             Case::ZoneApart => {
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -2,14 +2,19 @@
 //! users, with late and lost messages, crashes, cuts, outages and drift. An
 //! observer that knows nothing of the cores checks the protocol's rules.
 
+mod absences;
 mod between;
 mod cases;
 mod draining;
 mod gap;
 mod late;
+mod late_commands;
 mod meet;
 mod meetings;
+mod mute;
+mod new_machines;
 mod observer;
+mod old_reports;
 mod rolling;
 mod rollout;
 mod sim;
--- a/tests/world/meetings.rs
+++ b/tests/world/meetings.rs
@@ -169,12 +169,14 @@
 
     /// What a committed request brings about.
     pub fn look_at_commit(&mut self, request: &StateRequest, reply: Option<&StateReply>) {
-        let (StateRequest::Txn { changes, .. }, Some(StateReply::Committed { .. })) =
+        let (StateRequest::Txn { changes, .. }, Some(StateReply::Committed { revision })) =
             (request, reply)
         else {
             return;
         };
         self.look_at_progress(changes);
+        self.absences_meet_claim(changes);
+        self.old_reports_meet_claim(changes, *revision);
         if changes.iter().any(claims)
             && let Some(lasts) = self.meetings.away_with_claim.take()
         {
--- a/tests/world/sim/cloud.rs
+++ b/tests/world/sim/cloud.rs
@@ -7,7 +7,6 @@
     job::Resources,
     machine::{ListedMachine, ListedState, MachineType},
 };
-use rand::RngExt;
 
 use super::{CPUS, Event, World, ZONES, ms};
 
@@ -63,7 +62,7 @@
                 let mut names = Vec::new();
                 for _ in 0..rental.count {
                     if self.workers.len() + self.booting.len() < self.scale.machines_most {
-                        let boot = ms(self.rng.random_range(500..6_000));
+                        let boot = self.boot_time();
                         names.push(Arc::from(self.rent(zone, rental.spot, boot)));
                     }
                 }
@@ -93,6 +92,10 @@
         name
     }
 
+    pub fn remove_machine(&mut self, name: &str) {
+        self.remove_worker(name);
+    }
+
     pub(super) fn remove_worker(&mut self, name: &str) {
         if let Some(worker) = self.workers.remove(name) {
             for ((task, _), t) in worker.tasks {
--- a/tests/world/sim/mod.rs
+++ b/tests/world/sim/mod.rs
@@ -29,8 +29,9 @@
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 use crate::{
-    between::Between, cases::Case, meetings::Meetings, observer::Observer, rollout::Roll,
-    state::State,
+    absences::Absences, between::Between, cases::Case, late_commands::LateCommands,
+    meetings::Meetings, mute::Mute, new_machines::NewMachines, observer::Observer,
+    old_reports::OldReports, rollout::Roll, state::State,
 };
 
 pub use network::Cut;
@@ -135,6 +136,11 @@
     pub roll: Roll,
     pub between: Between,
     pub meetings: Meetings,
+    pub mute: Mute,
+    pub old_reports: OldReports,
+    pub late_commands: LateCommands,
+    pub new_machines: NewMachines,
+    pub absences: Absences,
 }
 
 impl World {
@@ -179,6 +185,11 @@
             roll: Roll::default(),
             between: Between::default(),
             meetings: Meetings::default(),
+            mute: Mute::default(),
+            old_reports: OldReports::default(),
+            late_commands: LateCommands::default(),
+            new_machines: NewMachines::default(),
+            absences: Absences::default(),
             observer: Observer::new(scale.cancel, "red", scale.team_limit, scale.seats),
         };
         for node in 0..NODES {
@@ -295,7 +306,9 @@
     }
 
     fn output(&mut self, node: usize, epoch: u64, output: Output) {
+        let output = self.tampered_answer(output);
         self.look_at_output(&output);
+        self.old_reports_meet_action(node, &output);
         let delay = self.delay();
         let now = self.now;
         match output {
@@ -343,10 +356,13 @@
                 let zone = self.workers.get(&name).map(|w| w.zone);
                 match zone.and_then(|zone| self.worker_path(node, zone)) {
                     Some(at) => {
-                        let at = at + self.held_up();
+                        let late = self.late_command();
+                        // Nobody is told of one that is carried out late.
+                        let to = if late.is_some() { 0 } else { epoch };
+                        let at = at + late.unwrap_or_else(|| self.held_up());
                         self.push(
                             at,
-                            Event::AtWorker(name, ToWorker::Do(node, epoch, call, direct)),
+                            Event::AtWorker(name, ToWorker::Do(node, to, call, direct)),
                         );
                         self.push(now + Duration::from_secs(1), failed);
                     }
--- a/tests/world/sim/sabotage.rs
+++ b/tests/world/sim/sabotage.rs
@@ -37,6 +37,16 @@
     BelievesVoid,
     /// A report that comes again is taken for a new one.
     BelievesCopies,
+    /// An old report shows the new leader's token.
+    CopiesShowNewToken,
+    /// A worker carries out commands under any token.
+    OldTokensCount,
+    /// A machine that hung is not stopped.
+    SparesHung,
+    /// A node that does not lead answers reports as if it did.
+    FollowersRenew,
+    /// A next leader sees no jobs in the roster.
+    RosterWithoutJobs,
     /// The leader's term grows with a renewal and the claim, whatever its copy holds.
     RenewalAlone,
 }
--- a/tests/world/sim/state_service.rs
+++ b/tests/world/sim/state_service.rs
@@ -2,7 +2,7 @@
 
 use kiteyard::core::{
     CallId, Input,
-    store::{CLAIMS, Change, PROGRESS, StateReply, StateRequest},
+    store::{CLAIMS, Change, PROGRESS, ROSTER, StateReply, StateRequest},
 };
 use rand::RngExt;
 
@@ -103,6 +103,7 @@
 
     fn reply_state(&mut self, node: usize, epoch: u64, call: CallId, mut reply: StateReply) {
         self.tamper_reply(node, &mut reply);
+        self.tamper_roster(&mut reply);
         let mut at = self.now + self.delay();
         if self.now < self.slow_until {
             at += ms(self.rng.random_range(50..500));
@@ -122,6 +123,26 @@
         }
     }
 
+    /// The jobs of machines are left out of the roster's shards.
+    fn tamper_roster(&self, reply: &mut StateReply) {
+        let StateReply::Entries { entries, .. } = reply else {
+            return;
+        };
+        if self.sabotage != Sabotage::RosterWithoutJobs {
+            return;
+        }
+        for entry in entries.iter_mut().filter(|e| e.key.starts_with(ROSTER)) {
+            let mut shard: serde_json::Value =
+                serde_json::from_str(entry.value.get()).expect("a shard of the roster");
+            let machines = shard["machines"].as_array_mut().expect("its machines");
+            for machine in machines {
+                machine[2] = serde_json::json!([]);
+            }
+            let text = shard.to_string();
+            entry.value = serde_json::value::RawValue::from_string(text).expect("JSON");
+        }
+    }
+
     pub fn tampered(&self, mut request: StateRequest) -> StateRequest {
         if let (Sabotage::ForgetEnds, StateRequest::Txn { changes, .. }) =
             (self.sabotage, &mut request)
--- a/tests/world/sim/workers.rs
+++ b/tests/world/sim/workers.rs
@@ -3,8 +3,8 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use kiteyard::core::{
-    Answer, CallId, Input, RequestId,
-    job::{Kind, TaskId},
+    Answer, CallId, Input, Output, RequestId,
+    job::{JobId, Kind, TaskId},
     leader::Direct,
     machine::{Command, DirectReply, ReportedTask, TaskPhase, Why, WorkerReport},
     roster::ShardRecord,
@@ -92,6 +92,7 @@
                     notice: None,
                 },
             );
+            self.machine_up(name);
         }
         if !self.workers.contains_key(name) {
             return;
@@ -216,6 +217,47 @@
         }
     }
 
+    pub fn hang(&mut self, name: &str, until: Duration) {
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.hung_until = until;
+        }
+    }
+
+    /// Jobs that have a task with its image somewhere.
+    pub fn running_jobs(&self) -> Vec<usize> {
+        (0..self.jobs.len())
+            .filter(|job| !self.machines_of(&[*job]).is_empty())
+            .collect()
+    }
+
+    pub fn machines_of(&self, jobs: &[usize]) -> Vec<String> {
+        let ids: Vec<&JobId> = jobs.iter().map(|job| &self.jobs[*job].spec.id).collect();
+        let holds = |worker: &Worker| {
+            let mut tasks = worker.tasks.iter();
+            tasks.any(|((task, _), t)| t.phase.on_machine() && ids.contains(&&task.job))
+        };
+        let holding = self.workers.iter().filter(|(_, worker)| holds(worker));
+        holding.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// A node that does not lead keeps a lease alive, in one unsafe variant.
+    pub(super) fn tampered_answer(&self, output: Output) -> Output {
+        match output {
+            Output::Answer {
+                request,
+                answer: Answer::Redirect(_),
+            } if self.sabotage == Sabotage::FollowersRenew
+                && let Some(name) = self.asker(request)
+                && let Some(worker) = self.workers.get(&name) =>
+            {
+                let (token, commands) = (worker.token, Vec::new());
+                let answer = Answer::Commands { token, commands };
+                Output::Answer { request, answer }
+            }
+            output => output,
+        }
+    }
+
     fn hurry(&mut self, name: &str) {
         let worker = self.workers.get_mut(name).expect("known worker");
         worker.next_report = worker.next_report.min(worker.last_sent + ms(500));
@@ -273,7 +315,7 @@
         let (node, zone) = (worker.node, worker.zone);
         let report = self.report(name);
         let at = match self.worker_path(node, zone) {
-            Some(at) if self.nodes[node].is_some() => at,
+            Some(at) if self.nodes[node].is_some() && !self.mute.is_mute(name, now) => at,
             _ => {
                 let worker = self.workers.get_mut(name).expect("known worker");
                 worker.in_flight = None;
@@ -287,6 +329,9 @@
         let epoch = self.epochs[node];
         self.asked
             .insert((node, epoch, request), Asker::Worker(name.to_owned(), id));
+        if self.report_sent(&report) {
+            return;
+        }
         self.copy_report(&report);
         self.push(
             at,
@@ -341,10 +386,17 @@
                     }
                 }
             }
-            ToWorker::Do(node, epoch, call, direct) => {
+            ToWorker::Do(node, epoch, call, mut direct) => {
                 let worker = self.workers.get_mut(&name).expect("known worker");
-                let good = direct.token >= worker.token && direct.session == worker.session;
                 let zone = worker.zone;
+                let (token, session) = (worker.token, worker.session);
+                self.mute.commanded(&name, now);
+                self.command_arrives((direct.token, token), (direct.session, session));
+                if self.sabotage == Sabotage::OldTokensCount {
+                    direct.token = direct.token.max(token);
+                }
+                let worker = self.workers.get_mut(&name).expect("known worker");
+                let good = direct.token >= token && direct.session == session;
                 if good {
                     worker.token = direct.token;
                     self.execute(&name, &direct.commands);
@@ -393,6 +445,8 @@
                     };
                     let until = now + fetch;
                     worker.tasks.insert(key, WTask { phase, until });
+                    self.mute.start_executed(name, now, self.scale.lease);
+                    self.start_on_machine(name);
                 }
                 Command::Stop {
                     task,
@@ -401,6 +455,9 @@
                 } => {
                     let spec = self.spec(task).clone();
                     let worker = self.workers.get_mut(name).expect("known worker");
+                    if self.sabotage == Sabotage::SparesHung && !worker.hung_until.is_zero() {
+                        continue;
+                    }
                     let Some(t) = worker.tasks.get_mut(&(task.clone(), *attempt)) else {
                         continue;
                     };
