Front: a copy that is being read again proves nothing; submissions name each wrong field

Cause: after the state service answered 410 to one watch, the answer to another, sent with the same revision, was still taken in while everything was read again. The empty copy then counted as proven, so an accepted job could be answered with 404; and a job that was set before the first page and deleted before it too stayed in the copy, so it would have been told as pending after its end. The same held for an acceptance whose answer came meanwhile. A submission sent as a list of the values was taken, and the message for a field of the wrong type or null did not name it.

Submissions must be objects, and serde_path_to_error names the field.

--- a/src/core/mirror.rs
+++ b/src/core/mirror.rs
@@ -208,8 +208,9 @@
     }
 
     /// A change of this node's own, known before the watch brings it. One that
-    /// the watch has brought already may be outdated, so it is passed over.
+    /// the watch has brought already may be outdated, so it is passed over. So is one that
+    /// comes while everything is read again: the job may be over before the first page.
     pub fn committed_job(&mut self, id: &JobId, record: JobRecord, version: u64) -> bool {
-        version > self.cursor && self.add_job(id.clone(), record, version)
+        self.loaded && version > self.cursor && self.add_job(id.clone(), record, version)
     }
 }
--- a/src/core/watching.rs
+++ b/src/core/watching.rs
@@ -75,7 +75,14 @@
     }
 
     /// Takes in the events of a watch; says whether the copy is proven.
+    ///
+    /// While everything is read again there is no copy that events could continue: what is
+    /// set before the first page and deleted before it as well would stay for ever, and an
+    /// empty copy is no proof that a job is unknown.
     pub(super) fn take_events(&mut self, reply: StateReply) -> bool {
+        if !self.mirror.loaded {
+            return false;
+        }
         match reply {
             StateReply::Events { events, revision } => {
                 for noticed in self.mirror.advance(&events, revision) {
--- a/src/wire/user.rs
+++ b/src/wire/user.rs
@@ -75,10 +75,22 @@
     Ok(licences)
 }
 
+/// Reads a submission's fields; an error names the field that it is about.
+fn read_submission(body: &[u8]) -> Result<Submission, String> {
+    // Serde would take a list of the values, in the order of the fields, as well.
+    if !body.trim_ascii_start().starts_with(b"{") {
+        return Err("not an object".into());
+    }
+    let json = &mut serde_json::Deserializer::from_slice(body);
+    let submission = serde_path_to_error::deserialize(&mut *json).map_err(|e| e.to_string())?;
+    json.end().map_err(|e| e.to_string())?;
+    Ok(submission)
+}
+
 /// A job as its user asked for it, or what is wrong with the request. Licences are
 /// ignored where none are counted.
 pub fn parse_submission(body: &[u8], licensed: bool) -> Result<JobSpec, String> {
-    let s: Submission = serde_json::from_slice(body).map_err(|e| e.to_string())?;
+    let s = read_submission(body)?;
     let id = JobId::parse(&s.uid).ok_or("uid: not a job id")?;
     if !(1..=100_000).contains(&s.strings) {
         return Err("strings: out of range".into());
--- /dev/null
+++ b/tests/requests.rs
@@ -0,0 +1,288 @@
+//! Users' requests that a node must not take, and questions that reach it while it reads
+//! everything again.
+
+use std::{sync::Arc, time::Duration};
+
+use kiteyard::{
+    core::{
+        Answer, CallId, Clock, Input, Node, Output,
+        config::{Config, Options},
+        job::{JobId, JobRecord},
+        store::{Entry, Event, StateReply, StateRequest, job_key},
+    },
+    settings::Settings,
+    wire::user::parse_submission,
+};
+use serde_json::{Value, json};
+
+fn submission() -> Value {
+    json!({"uid": "run-000001", "flight": "work", "crew": "red", "shape": "array",
+        "lift": "standard", "strings": 1, "cpus": 1.0, "gpus": 0.0, "mem_gb": 1.0,
+        "sail": "img", "size_gb": 1.0, "frames": null, "field": null, "same_place": false,
+        "spread": false, "gusts": false, "airtime_s": 1.0, "tether_s": 0.0, "reel_s": 0.0,
+        "landby_s": 60.0})
+}
+
+const MAY_BE_NULL: [&str; 3] = ["frames", "field", "landby_s"];
+
+fn refused(body: &Value) -> String {
+    let body = body.to_string();
+    let parsed = parse_submission(body.as_bytes(), true);
+    parsed.expect_err(&body)
+}
+
+#[test]
+fn a_missing_field_is_named_and_one_that_may_be_null_may_be_left_out() {
+    let whole = submission();
+    for field in whole.as_object().expect("an object").keys() {
+        let mut job = submission();
+        job.as_object_mut().expect("an object").remove(field);
+        match MAY_BE_NULL.contains(&field.as_str()) {
+            true => assert!(parse_submission(job.to_string().as_bytes(), true).is_ok()),
+            false => {
+                assert!(refused(&job).contains(&format!("`{field}`")), "{field}");
+                job[field] = Value::Null;
+                assert!(refused(&job).contains(field), "{field}");
+            }
+        }
+    }
+}
+
+#[test]
+fn a_field_that_is_invalid_or_out_of_range_is_named() {
+    let invalid = [
+        ("uid", json!("job 1")),
+        ("uid", json!(5)),
+        ("flight", json!("")),
+        ("flight", json!(["work"])),
+        ("crew", json!("")),
+        ("crew", json!("x".repeat(201))),
+        ("shape", json!("heap")),
+        ("lift", json!("highest")),
+        ("strings", json!(0)),
+        ("strings", json!(-1)),
+        ("strings", json!(100_001)),
+        ("strings", json!(1.5)),
+        ("strings", json!("3")),
+        ("cpus", json!(-1.0)),
+        ("cpus", json!("2")),
+        ("gpus", json!(-0.5)),
+        ("gpus", json!(true)),
+        ("mem_gb", json!(-1)),
+        ("mem_gb", json!({})),
+        ("sail", json!("")),
+        ("sail", json!(7)),
+        ("size_gb", json!(1e12)),
+        ("size_gb", json!([])),
+        ("frames", json!("m")),
+        ("frames", json!([1])),
+        ("field", json!(3)),
+        ("same_place", json!("yes")),
+        ("spread", json!(0)),
+        ("gusts", json!(1)),
+        ("airtime_s", json!(-1.0)),
+        ("airtime_s", json!("long")),
+        ("tether_s", json!(-1.0)),
+        ("tether_s", json!(false)),
+        ("reel_s", json!(-1.0)),
+        ("reel_s", json!("0")),
+        ("landby_s", json!(-5.0)),
+        ("landby_s", json!("soon")),
+        ("licences", json!([])),
+        ("licences", json!({"solver": 0})),
+    ];
+    for (field, value) in invalid {
+        let mut job = submission();
+        job[field] = value;
+        let message = refused(&job);
+        assert!(message.contains(field), "{field}: {message}");
+    }
+}
+
+/// The values alone, in the order of the fields, are no submission.
+#[test]
+fn what_is_not_an_object_is_refused() {
+    let values = json!([
+        "run-000001",
+        "work",
+        "red",
+        "array",
+        "standard",
+        1,
+        1.0,
+        0.0,
+        1.0,
+        "img",
+        1.0,
+        null,
+        null,
+        false,
+        false,
+        false,
+        1.0,
+        0.0,
+        0.0,
+        60.0,
+        null
+    ]);
+    for body in [values, json!(7), json!("run-000001"), Value::Null] {
+        assert_eq!(refused(&body), "not an object");
+    }
+    let twice = format!("{}{}", submission(), submission());
+    assert!(parse_submission(twice.as_bytes(), true).is_err());
+}
+
+const SETTINGS: &str = r#"{
+  "label": "n0", "api_addr": "127.0.0.1:1", "cluster_listen": "127.0.0.1:2", "known": [],
+  "outside": {"cloud": "127.0.0.1:3", "state": "127.0.0.1:4"},
+  "params": {
+    "zones": ["a"], "teams": [{"name": "red"}],
+    "workers": {"report_s": 1.0, "lease_s": 10.0, "gang_wait_s": 30.0, "gang_peer_s": 5.0, "cancel_s": 30.0},
+    "state": {"rps": 80.0, "write_rps": 30.0, "value_kb": 16.0, "txn_ops": 16},
+    "cloud": {"rps": 8.0, "list_lag_s": 10.0},
+    "resources": {"sockets": 700}
+  }
+}"#;
+
+/// A node whose every request to the state service is answered by hand.
+struct Asked {
+    node: Node,
+    ms: u64,
+    outputs: Vec<Output>,
+}
+
+impl Asked {
+    fn new() -> Self {
+        let settings = Settings::parse(SETTINGS).expect("good settings");
+        let node = Node::new(Config::new(&settings, Options::default()));
+        let outputs = Vec::new();
+        Self {
+            node,
+            ms: 0,
+            outputs,
+        }
+    }
+
+    fn step(&mut self, input: Input) {
+        self.ms += 400;
+        let clock = Clock {
+            now: Duration::from_millis(self.ms),
+            wall_ms: self.ms,
+        };
+        self.outputs.extend(self.node.step(clock, input));
+    }
+
+    /// The last request of that kind which was sent.
+    fn sent(&mut self, which: fn(&StateRequest) -> bool) -> CallId {
+        let call = self.outputs.iter().rev().find_map(|output| match output {
+            Output::State { call, request, .. } if which(request) => Some(*call),
+            _ => None,
+        });
+        call.expect("such a request")
+    }
+
+    fn reply(&mut self, call: CallId, reply: StateReply) {
+        self.step(Input::State { call, reply });
+    }
+
+    fn ask(&mut self, request: u64) {
+        let id = id();
+        self.step(Input::Status { request, id });
+    }
+
+    fn answer(&self, to: u64) -> Option<Answer> {
+        self.outputs.iter().find_map(|output| match output {
+            Output::Answer { request, answer } if *request == to => Some(answer.clone()),
+            _ => None,
+        })
+    }
+
+    fn loads(&mut self, entries: Vec<Entry>, revision: u64) {
+        let call = self.sent(|r| matches!(r, StateRequest::List { .. }));
+        let more = false;
+        self.reply(
+            call,
+            StateReply::Entries {
+                entries,
+                more,
+                revision,
+            },
+        );
+    }
+
+    /// A proof of the copy and a watch are under way; the watch learns that too much was
+    /// missed, so everything is asked for again.
+    fn falls_behind(&mut self) -> CallId {
+        self.step(Input::Tick);
+        self.loads(vec![entry(5)], 10);
+        self.ask(1);
+        let proof = self.sent(is_proof);
+        let watch = self.sent(is_watch);
+        self.reply(watch, StateReply::TooOld);
+        self.step(Input::Tick);
+        proof
+    }
+}
+
+fn is_proof(request: &StateRequest) -> bool {
+    matches!(request, StateRequest::Watch { wait, .. } if wait.is_zero())
+}
+
+fn is_watch(request: &StateRequest) -> bool {
+    matches!(request, StateRequest::Watch { wait, .. } if !wait.is_zero())
+}
+
+fn id() -> JobId {
+    JobId::parse("run-000001").expect("an id")
+}
+
+fn entry(version: u64) -> Entry {
+    let body = submission().to_string();
+    let record = JobRecord {
+        spec: Arc::new(parse_submission(body.as_bytes(), false).expect("a submission")),
+        accepted_ms: 1,
+    };
+    Entry {
+        key: job_key(&id()),
+        value: serde_json::value::to_raw_value(&record).expect("a record"),
+        version,
+    }
+}
+
+fn none_new(revision: u64) -> StateReply {
+    let events = Vec::new();
+    StateReply::Events { events, revision }
+}
+
+/// The proof of a copy that was dropped proves nothing: the job looked unknown.
+#[test]
+fn a_job_is_not_unknown_while_everything_is_read_again() {
+    let mut asked = Asked::new();
+    let proof = asked.falls_behind();
+    asked.reply(proof, none_new(10));
+    let answer = asked.answer(1).expect("an answer at once");
+    assert!(matches!(answer, Answer::Later { .. }), "{answer:?}");
+}
+
+/// What was set and deleted before it was read again would have stayed in the copy, and the
+/// job that is over would have been told as pending.
+#[test]
+fn events_from_before_everything_was_read_again_are_passed_over() {
+    let mut asked = Asked::new();
+    let proof = asked.falls_behind();
+    let job = entry(12);
+    let event = Event {
+        key: job.key,
+        value: Some(job.value),
+        revision: 12,
+    };
+    let (events, revision) = (vec![event], 12);
+    asked.reply(proof, StateReply::Events { events, revision });
+    asked.loads(Vec::new(), 20);
+    asked.ask(2);
+    let proof = asked.sent(is_proof);
+    asked.reply(proof, none_new(20));
+    let read = asked.sent(|r| matches!(r, StateRequest::Get { .. }));
+    asked.reply(read, StateReply::Missing);
+    assert_eq!(asked.answer(2), Some(Answer::NotFound));
+}
