World: close looks, cancellations at a job's end, lost answers, odd requests and bursts

Cause: seven meetings of users' requests had no test that brings them about.

Change: typed troubles CloseLooks, AskedAtEnd, AnswersLost, OddRequests, CancelBurst and RefusedThenAway; checks: no job is accepted a second time, none that can't run is accepted, no node starts what it told as over, and no start is sent so late after a confirmed cancellation that the worker's lease could outlive cancel_s.

The meetings with changes of the leader and the stream of small jobs have no variant in their own world.

--- a/tests/world/cases.rs
+++ b/tests/world/cases.rs
@@ -56,6 +56,20 @@
     LateWrites,
     /// Commands that go straight to workers are held up, and so are their answers.
     HeldCommands,
+    /// All nodes are asked within milliseconds after an acceptance or an end, submissions are
+    /// repeated, and some jobs are cancelled at once.
+    CloseLooks,
+    /// The end of a job's last task meets a cancellation, a question or a submission.
+    AskedAtEnd,
+    /// Users send jobs that can't run.
+    OddRequests,
+    /// A part of all transactions is carried out at once, and not answered.
+    AnswersLost,
+    /// Within a fifth of a second users cancel most of the jobs that are not over.
+    CancelBurst,
+    /// The same at the very moment at which the state service refuses the leader alone; a
+    /// second later it is away for all.
+    RefusedThenAway,
     /// The leader's own watch tells nothing while users cancel.
     SilentWatch,
     /// A node that does not lead is started again from the old build.
@@ -158,6 +172,15 @@
             Case::Gap => self.gap(leader, lasts),
             Case::GapAfterClaim => self.gap_after_claim(leader, lasts),
             Case::SilentWatch => self.silent_watch(leader, lasts),
+            Case::CancelBurst => self.cancel_burst(),
+            Case::RefusedThenAway => self.refused_then_away(leader, lasts),
+            Case::CloseLooks => self.requests.close_until = until,
+            Case::AskedAtEnd => self.requests.ends_until = until,
+            Case::OddRequests => {
+                self.requests.odd_until = until;
+                self.push(self.now, Event::Odd);
+            }
+            Case::AnswersLost => self.requests.unanswered_until = until,
             Case::Outage => {
                 self.outage = true;
                 self.push(until, Event::OutageEnds);
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -2,6 +2,7 @@
 //! users, with late and lost messages, crashes, cuts, outages and drift. An
 //! observer that knows nothing of the cores checks the protocol's rules.
 
+mod answers;
 mod between;
 mod cases;
 mod draining;
--- a/tests/world/sim/mod.rs
+++ b/tests/world/sim/mod.rs
@@ -4,6 +4,7 @@
 mod config;
 mod network;
 mod random_troubles;
+mod requests;
 mod sabotage;
 mod scale;
 mod state_service;
@@ -20,7 +21,7 @@
     Answer, CallId, Clock, Input, Node, Output, RequestId,
     config::{Config, Options},
     fleet::{CloudReply, CloudRequest},
-    job::{JobState, TaskId},
+    job::{JobId, JobState, TaskId},
     machine::DirectReply,
     rollout::Ask,
     store::{StateReply, StateRequest},
@@ -39,6 +40,8 @@
 pub use workers::{ToWorker, Worker};
 
 use config::settings;
+pub use requests::Met;
+use requests::Requests;
 use users::{Asking, Job};
 
 pub const NODES: usize = 3;
@@ -64,6 +67,10 @@
     User(usize),
     /// The same, at this node.
     UserAt(usize, usize),
+    /// The same, with this question.
+    Ask(usize, usize, Asking),
+    /// Users send jobs that can't run.
+    Odd,
     Trouble,
     Restart(usize),
     /// A line between nodes, for whatever process is there by then.
@@ -90,6 +97,8 @@
 enum Asker {
     Worker(String, u64),
     User(usize, Asking, Option<JobState>),
+    /// About a job that can't run, and why it can't.
+    Odd(usize, JobId),
 }
 
 pub struct World {
@@ -135,6 +144,7 @@
     pub roll: Roll,
     pub between: Between,
     pub meetings: Meetings,
+    pub requests: Requests,
 }
 
 impl World {
@@ -179,6 +189,7 @@
             roll: Roll::default(),
             between: Between::default(),
             meetings: Meetings::default(),
+            requests: Requests::default(),
             observer: Observer::new(scale.cancel, "red", scale.team_limit, scale.seats),
         };
         for node in 0..NODES {
@@ -282,6 +293,7 @@
             return;
         };
         let outputs = core.step(clock, input);
+        self.check_starts(node, &outputs);
         if let Some(freeze) = self.freezes[node].take_if(|_| !outputs.is_empty()) {
             // It stops after it has decided, and goes on as if nothing had happened.
             let until = self.now + freeze;
@@ -425,6 +437,8 @@
                 self.user(i, node);
             }
             Event::UserAt(i, node) => self.user(i, node),
+            Event::Ask(i, node, asking) => self.ask(i, node, asking),
+            Event::Odd => self.send_odd(),
             Event::Trouble => self.trouble(),
             Event::Restart(node) => self.restart(node),
             Event::Crash(node) => self.crash(node),
--- a/tests/world/sim/sabotage.rs
+++ b/tests/world/sim/sabotage.rs
@@ -39,4 +39,10 @@
     BelievesCopies,
     /// The leader's term grows with a renewal and the claim, whatever its copy holds.
     RenewalAlone,
+    /// A job is accepted whatever is stored of it.
+    AcceptsWhateverIsStored,
+    /// A job's end is stored whether it is over already or not.
+    EndsWhateverIsStored,
+    /// A leader that is told of a job's end takes it for a new job.
+    EndsLookNew,
 }
--- a/tests/world/sim/state_service.rs
+++ b/tests/world/sim/state_service.rs
@@ -37,7 +37,8 @@
                 limited: false,
             }
         } else {
-            let request = self.tampered_forms(node, self.tampered(request));
+            let mut request = self.tampered_forms(node, self.tampered(request));
+            self.drop_conditions(&mut request);
             if self.crashes_before(node, &request) {
                 return;
             }
@@ -69,6 +70,7 @@
                 return;
             }
             match reply {
+                Some(reply) if self.answer_lost(&request, &reply) => return,
                 Some(reply) => reply,
                 None => {
                     self.watches
@@ -112,6 +114,7 @@
                 Sabotage::DeafForCancellations => {
                     events.retain(|e| e.value.is_some() || !e.key.starts_with("live/job"));
                 }
+                Sabotage::EndsLookNew => self.ends_look_new(events),
                 Sabotage::UnprovenAnswers if !events.is_empty() => at += ms(6000),
                 _ => {}
             }
--- a/tests/world/sim/users.rs
+++ b/tests/world/sim/users.rs
@@ -10,7 +10,7 @@
 
 use super::{Asker, Event, Sabotage, World, ZONES, ms, workers::ToWorker};
 
-#[derive(Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Asking {
     Submit,
     Status,
@@ -123,13 +123,32 @@
         let withdraw = job.accepted && !job.over && job.withdraw_at.is_some_and(|at| now > at);
         let stranger = self.rng.random_range(0..40) == 0;
         let repeat = self.rng.random_range(0..25) == 0;
+        let asking = if stranger {
+            Asking::Stranger
+        } else if !job.accepted || repeat {
+            Asking::Submit
+        } else if withdraw {
+            Asking::Withdraw
+        } else {
+            Asking::Status
+        };
+        self.ask(i, node, asking);
+    }
+
+    /// A user asks a node about a job.
+    pub(super) fn ask(&mut self, i: usize, node: usize, asking: Asking) {
+        let now = self.now;
+        if self.nodes[node].is_none() {
+            return;
+        }
+        let job = &self.jobs[i];
         self.next_request += 1;
         let request = self.next_request;
         let id = job.spec.id.clone();
-        let (asking, input) = if stranger {
+        let input = if asking == Asking::Stranger {
             let id = JobId::parse(&format!("run-9{i:05}")).expect("an id");
-            (Asking::Stranger, Input::Status { request, id })
-        } else if !job.accepted || repeat {
+            Input::Status { request, id }
+        } else if asking == Asking::Submit {
             let mut spec = job.spec.clone();
             if self.sabotage == Sabotage::BlindForPlaces {
                 spec.zone = None;
@@ -137,12 +156,12 @@
                 spec.spot = true;
             }
             let spec = Arc::new(spec);
-            (Asking::Submit, Input::Submit { request, spec })
-        } else if withdraw {
+            Input::Submit { request, spec }
+        } else if asking == Asking::Withdraw {
             self.observer.withdrawn(&id);
-            (Asking::Withdraw, Input::Withdraw { request, id })
+            Input::Withdraw { request, id }
         } else {
-            (Asking::Status, Input::Status { request, id })
+            Input::Status { request, id }
         };
         let before = self.observer.state(&self.jobs[i].spec.id);
         let epoch = self.epochs[node];
@@ -168,11 +187,17 @@
                     self.push(at, Event::AtWorker(name, ToWorker::Answer(id, answer)));
                 }
             }
+            Asker::Odd(reason, id) => self.odd_answered(node, reason, &id, &answer),
             Asker::User(i, asking, before) => {
                 self.meetings.unanswered.remove(&i);
                 let spec = self.jobs[i].spec.clone();
                 let state = match &answer {
-                    Answer::Accepted(_) => JobState::Pending,
+                    Answer::Accepted(id) => {
+                        if before.is_some() {
+                            self.observer.breaks(now, "accepted_again", id.to_string());
+                        }
+                        JobState::Pending
+                    }
                     Answer::Known(_, state) | Answer::Status(_, state, _, _) => *state,
                     Answer::NotFound => {
                         if asking != Asking::Stranger {
@@ -196,6 +221,7 @@
                 self.jobs[i].over |= matches!(state, JobState::Done | JobState::Cancelled);
                 self.observer.told(now, &spec, state, before);
                 self.observer.answered(now, &spec.id);
+                self.look_closely(i, state);
             }
         }
     }
--- a/tests/world/sim/workers.rs
+++ b/tests/world/sim/workers.rs
@@ -205,6 +205,7 @@
                         self.results.insert(task.clone());
                         self.observer.gone(&task, "", true);
                     }
+                    self.met_end(&key.0.job);
                 }
                 self.observer.gone(&key.0, name, done);
             }
@@ -368,6 +369,9 @@
     fn execute(&mut self, name: &str, commands: &[Command]) {
         let now = self.now;
         for command in commands {
+            if self.is_odd(command) {
+                continue;
+            }
             match command {
                 Command::Start { task, attempt } => {
                     self.check_listed(name, task);
