--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -3,6 +3,7 @@
 //! observer that knows nothing of the cores checks the protocol's rules.
 
 mod absences;
+mod answers;
 mod between;
 mod cases;
 mod draining;
--- a/tests/world/sim/mod.rs
+++ b/tests/world/sim/mod.rs
@@ -4,6 +4,7 @@
 mod config;
 mod network;
 mod random_troubles;
+mod requests;
 mod sabotage;
 mod scale;
 mod state_service;
@@ -20,7 +21,7 @@
     Answer, CallId, Clock, Input, Node, Output, RequestId,
     config::{Config, Options},
     fleet::{CloudReply, CloudRequest},
-    job::{JobState, TaskId},
+    job::{JobId, JobState, TaskId},
     machine::DirectReply,
     rollout::Ask,
     store::{StateReply, StateRequest},
@@ -41,6 +42,8 @@
 pub use workers::{ToWorker, Worker};
 
 use config::settings;
+pub use requests::Met;
+use requests::Requests;
 use users::Asking;
 
 pub const NODES: usize = 3;
@@ -66,6 +69,10 @@
     User(usize),
     /// The same, at this node.
     UserAt(usize, usize),
+    /// The same, with this question.
+    Ask(usize, usize, Asking),
+    /// Users send jobs that can't run.
+    Odd,
     Trouble,
     Restart(usize),
     /// A line between nodes, for whatever process is there by then.
@@ -92,6 +99,8 @@
 enum Asker {
     Worker(String, u64),
     User(usize, Asking, Option<JobState>),
+    /// About a job that can't run, and why it can't.
+    Odd(usize, JobId),
 }
 
 pub struct World {
@@ -143,6 +152,7 @@
     pub late_commands: LateCommands,
     pub new_machines: NewMachines,
     pub absences: Absences,
+    pub requests: Requests,
 }
 
 impl World {
@@ -193,6 +203,7 @@
             late_commands: LateCommands::default(),
             new_machines: NewMachines::default(),
             absences: Absences::default(),
+            requests: Requests::default(),
             observer: Observer::new(scale.cancel, "red", scale.team_limit, scale.seats),
         };
         if scale.second_limit > 0.0 {
@@ -299,6 +310,7 @@
             return;
         };
         let outputs = core.step(clock, input);
+        self.check_starts(node, &outputs);
         if let Some(freeze) = self.freezes[node].take_if(|_| !outputs.is_empty()) {
             // It stops after it has decided, and goes on as if nothing had happened.
             let until = self.now + freeze;
@@ -448,6 +460,8 @@
                 self.user(i, node);
             }
             Event::UserAt(i, node) => self.user(i, node),
+            Event::Ask(i, node, asking) => self.ask(i, node, asking),
+            Event::Odd => self.send_odd(),
             Event::Trouble => self.trouble(),
             Event::Restart(node) => self.restart(node),
             Event::Crash(node) => self.crash(node),
