--- a/tests/world/absences.rs
+++ b/tests/world/absences.rs
@@ -125,7 +125,7 @@
 fn rules_hold_while_all_controllers_are_away_for_longer_than_a_lease() {
     holds(&ALL_AWAY);
     holds(&[
-        (18_000, Case::CancelBurst, 4_000),
+        (18_000, Case::CancelAndHang, 4_000),
         (18_400, Case::AllAway, 8_000),
     ]);
 }
@@ -151,7 +151,7 @@
     holds(&ZONE_CUT);
     holds(&[
         (18_000, Case::ZoneCut, 25_000),
-        (20_000, Case::CancelBurst, 4_000),
+        (20_000, Case::CancelAndHang, 4_000),
     ]);
 }
 
--- a/tests/world/cases.rs
+++ b/tests/world/cases.rs
@@ -81,7 +81,7 @@
     /// Direct commands are carried out 2 to 16 s late and not answered.
     LateCommands,
     /// Users cancel most of what runs, and machines with it hang for that long.
-    CancelBurst,
+    CancelAndHang,
     /// Machines are up within two seconds, and the leader ends as they get work.
     NewMachines,
     /// All processes end, and are back after that time.
@@ -178,7 +178,7 @@
             Case::KeptCopies => self.keep_copies(until),
             Case::HeldReports => self.hold_reports(until),
             Case::LateCommands => self.delay_commands(until),
-            Case::CancelBurst => self.cancel_burst(lasts),
+            Case::CancelAndHang => self.cancel_and_hang(lasts),
             Case::NewMachines => self.new_machines(until),
             Case::AllAway => self.all_away(lasts),
             Case::HandOverAndBack => self.hand_over_and_back(lasts),
--- a/tests/world/late_commands.rs
+++ b/tests/world/late_commands.rs
@@ -46,7 +46,7 @@
 
     /// Users cancel most of what runs, within a fifth of a second, and some machines with
     /// tasks of it hang.
-    pub fn cancel_burst(&mut self, hang: Duration) {
+    pub fn cancel_and_hang(&mut self, hang: Duration) {
         let mut cancelled = Vec::new();
         for job in self.running_jobs() {
             if self.rng.random_bool(0.7) {
@@ -127,9 +127,9 @@
 fn burst(seed: u64, sabotage: Sabotage) -> World {
     let mut world = World::sized(LONG, seed, sabotage).quick();
     for (at, case, hang) in [
-        (20_000, Case::CancelBurst, 4_000),
+        (20_000, Case::CancelAndHang, 4_000),
         (21_000, Case::LeaderEnds, 0),
-        (40_000, Case::CancelBurst, 9_000),
+        (40_000, Case::CancelAndHang, 9_000),
     ] {
         world = world.with(at, case, ms(hang));
     }
