--- a/tests/world/answers.rs
+++ b/tests/world/answers.rs
@@ -135,6 +135,8 @@
         let mut world = World::sized(scale, seed, Sabotage::None).stream(480, ms(250));
         world = world.with(1_000, Case::CloseLooks, Duration::from_secs(150));
         world = world.with(40_000, Case::AskedAtEnd, Duration::from_secs(20));
+        // Users alone make trouble here, so no job may wait beside room at any time.
+        world.liveness.settled = Some(Duration::from_secs(10));
         world.run();
         let (done, cancelled) = world.ended();
         let left = world.left();
