--- a/tests/world/cases.rs
+++ b/tests/world/cases.rs
@@ -70,6 +70,10 @@
     /// The same at the very moment at which the state service refuses the leader alone; a
     /// second later it is away for all.
     RefusedThenAway,
+    /// Messages between nodes and workers take a large part of a second.
+    SlowLinks,
+    /// Half of the machines end in the zone that has most tasks bound to it.
+    ZoneLosesMachines,
     /// The leader's own watch tells nothing while users cancel.
     SilentWatch,
     /// A third of the machines reach no controller; direct commands reach them.
@@ -175,6 +179,8 @@
                 let names = self.workers.keys().step_by(3).cloned().collect();
                 self.mute.silence(names, self.now, until);
             }
+            Case::SlowLinks => self.slow_links(until),
+            Case::ZoneLosesMachines => self.lose_machines(),
             Case::KeptCopies => self.keep_copies(until),
             Case::HeldReports => self.hold_reports(until),
             Case::LateCommands => self.delay_commands(until),
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -19,6 +19,7 @@
 mod old_reports;
 mod rolling;
 mod rollout;
+mod scarcity;
 mod sim;
 mod state;
 
--- a/tests/world/observer.rs
+++ b/tests/world/observer.rs
@@ -1,7 +1,7 @@
 //! Checks the rules from outside: it sees what users are told and what runs where.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     time::Duration,
 };
 
@@ -28,6 +28,8 @@
 pub struct Observer {
     told: HashMap<JobId, Told>,
     done_tasks: BTreeMap<TaskId, ()>,
+    /// Jobs of which a task has started.
+    begun: HashSet<JobId>,
     on: BTreeMap<TaskId, Running>,
     broken: Vec<String>,
     pub starts: u64,
@@ -81,6 +83,7 @@
 
     pub fn started(&mut self, now: Duration, task: &TaskId, running: Running) {
         self.starts += 1;
+        self.begun.insert(task.job.clone());
         if self.cancelled_long_ago(now, task) {
             self.breaks(now, "ran_cancelled", format!("{task} starts"));
         }
@@ -124,6 +127,10 @@
         }
     }
 
+    pub fn has_begun(&self, id: &JobId) -> bool {
+        self.begun.contains(id)
+    }
+
     pub fn unlisted(&mut self, now: Duration, task: &TaskId, machine: &str) {
         self.breaks(now, "unlisted", format!("{task} on {machine}"));
     }
--- /dev/null
+++ b/tests/world/scarcity.rs
@@ -0,0 +1,167 @@
+//! More work than room over slow links, and zones that lose the machines their jobs are bound to.
+
+use std::time::Duration;
+
+use kiteyard::core::job::{Kind, Priority};
+use rand::RngExt;
+
+use crate::{
+    cases::Case,
+    seeds,
+    sim::{MEDIUM, Sabotage, Scale, World, ZONES, ms},
+};
+
+#[derive(Default)]
+pub struct Scarcity {
+    /// Messages between nodes and workers take a large part of a second until then.
+    slow_until: Duration,
+    /// Machines that were lost while a task of a job bound to their zone was on them.
+    pub lost_with_bound_tasks: usize,
+}
+
+impl World {
+    pub fn slow_links(&mut self, until: Duration) {
+        self.scarcity.slow_until = until;
+    }
+
+    /// What a slow link adds to the delay of a message.
+    pub fn link_delay(&mut self) -> Duration {
+        match self.now < self.scarcity.slow_until {
+            true => ms(self.rng.random_range(150..700)),
+            false => Duration::ZERO,
+        }
+    }
+
+    /// Machines of a zone, those first that have a task which may run in no other.
+    fn bound_first(&self, zone: usize) -> Vec<(bool, String)> {
+        let mut names: Vec<(bool, String)> = Vec::new();
+        for (name, worker) in &self.workers {
+            if worker.zone == zone {
+                let mut tasks = worker.tasks.keys();
+                let bound = tasks.any(|(task, _)| self.spec(task).zone.is_some());
+                names.push((!bound, name.clone()));
+            }
+        }
+        names.sort();
+        names
+    }
+
+    /// Half of the machines end in the zone with most machines that have bound tasks.
+    pub fn lose_machines(&mut self) {
+        let zones = (0..ZONES.len()).map(|zone| self.bound_first(zone));
+        let bound = |names: &Vec<(bool, String)>| names.iter().filter(|(free, _)| !free).count();
+        let mut names = zones.max_by_key(bound).unwrap_or_default();
+        names.truncate(names.len().div_ceil(2));
+        for (elsewhere, name) in names {
+            self.scarcity.lost_with_bound_tasks += usize::from(!elsewhere);
+            self.remove_worker(&name);
+        }
+    }
+}
+
+/// Far more work than room for most of the time.
+const CROWDED: Scale = Scale {
+    length: Duration::from_secs(120),
+    machines: 16,
+    machines_most: 18,
+    jobs: 110,
+    ..MEDIUM
+};
+
+/// Room for all, and time enough after the loss.
+const ROOMY: Scale = Scale {
+    length: Duration::from_secs(120),
+    jobs: 120,
+    ..MEDIUM
+};
+
+fn world(scale: Scale, seed: u64, sabotage: Sabotage, troubles: &[(u64, Case, u64)]) -> World {
+    let mut world = World::sized(scale, seed, sabotage).quick();
+    for (at, case, seconds) in troubles {
+        world = world.with(*at, *case, Duration::from_secs(*seconds));
+    }
+    world.liveness.settled = Some(Duration::from_secs(70));
+    world.run();
+    world
+}
+
+fn holds(scale: Scale, seed: u64, troubles: &[(u64, Case, u64)]) -> World {
+    let world = world(scale, seed, Sabotage::None, troubles);
+    let what = format!("seed {seed}, {troubles:?}");
+    assert_eq!(world.observer.broken(), Vec::<String>::new(), "{what}");
+    assert!(world.observer.starts > 40, "{what}: ran too little");
+    world
+}
+
+/// Of the accepted jobs of one kind of priority, how many have begun, and how many there are.
+fn begun(world: &World, urgent: bool) -> (usize, usize) {
+    let of_kind = world.jobs.iter().filter(|job| {
+        let called_off = job.withdraw_at.is_some() && job.spec.kind != Kind::Service;
+        job.accepted && !called_off && (job.spec.priority == Priority::Production) == urgent
+    });
+    let begun = |job: &&crate::sim::Job| world.observer.has_begun(&job.spec.id);
+    let jobs: Vec<_> = of_kind.collect();
+    (jobs.iter().filter(|job| begun(job)).count(), jobs.len())
+}
+
+/// Nine of ten urgent jobs have begun.
+fn urgent_begin(world: &World) -> bool {
+    let (urgent, of_urgent) = begun(world, true);
+    of_urgent > 5 && urgent * 10 >= of_urgent * 9
+}
+
+/// Urgent jobs begin nearly all, and at least half of the others do, too.
+#[test]
+fn urgent_and_other_jobs_begin_with_more_work_than_room_over_slow_links() {
+    for seed in seeds(3) {
+        for others in [&[][..], &[(30_000, Case::LeaderEnds, 0)]] {
+            let troubles = [&[(10_000, Case::SlowLinks, 50)], others].concat();
+            let world = holds(CROWDED, seed, &troubles);
+            let (other, of_others) = begun(&world, false);
+            assert!(
+                urgent_begin(&world),
+                "seed {seed}: {:?}",
+                begun(&world, true)
+            );
+            assert!(
+                other * 2 >= of_others,
+                "seed {seed}: {other} of {of_others}"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_core_blind_for_priorities_is_caught() {
+    let troubles = [(10_000, Case::SlowLinks, 50)];
+    let variant = Sabotage::BlindForPriorities;
+    let late = |seed| !urgent_begin(&world(CROWDED, seed, variant, &troubles));
+    assert!((0..6).any(late));
+}
+
+#[test]
+fn a_core_that_moves_bound_jobs_to_other_zones_is_caught() {
+    let troubles = [(18_000, Case::ZoneLosesMachines, 0)];
+    let caught = |seed| {
+        let world = world(ROOMY, seed, Sabotage::BlindForPlaces, &troubles);
+        let broken = world.observer.broken();
+        broken.iter().any(|b| b.starts_with("wrong_place"))
+    };
+    assert!((0..4).any(caught));
+}
+
+/// The zone's jobs are started again in their zone, or wait while it has no room.
+#[test]
+fn jobs_bound_to_a_zone_are_not_left_waiting_after_it_loses_machines() {
+    for seed in seeds(4) {
+        let troubles = [
+            (18_000, Case::ZoneLosesMachines, 0),
+            (24_000, Case::LeaderEnds, 0),
+            (30_000, Case::ZoneLosesMachines, 0),
+            (42_000, Case::ZoneLosesMachines, 0),
+        ];
+        let world = holds(ROOMY, seed, &troubles);
+        let lost = world.scarcity.lost_with_bound_tasks;
+        assert!(lost > 0, "seed {seed}: no bound task lost its machine");
+    }
+}
--- a/tests/world/sim/cloud.rs
+++ b/tests/world/sim/cloud.rs
@@ -96,7 +96,7 @@
         self.remove_worker(name);
     }
 
-    pub(super) fn remove_worker(&mut self, name: &str) {
+    pub(crate) fn remove_worker(&mut self, name: &str) {
         if let Some(worker) = self.workers.remove(name) {
             for ((task, _), t) in worker.tasks {
                 if t.phase.on_machine() {
--- a/tests/world/sim/mod.rs
+++ b/tests/world/sim/mod.rs
@@ -32,7 +32,7 @@
 use crate::{
     absences::Absences, between::Between, cases::Case, late_commands::LateCommands,
     liveness::Liveness, meetings::Meetings, mute::Mute, new_machines::NewMachines,
-    observer::Observer, old_reports::OldReports, rollout::Roll, state::State,
+    observer::Observer, old_reports::OldReports, rollout::Roll, scarcity::Scarcity, state::State,
 };
 
 pub use network::Cut;
@@ -152,6 +152,7 @@
     pub late_commands: LateCommands,
     pub new_machines: NewMachines,
     pub absences: Absences,
+    pub scarcity: Scarcity,
     pub requests: Requests,
 }
 
@@ -203,6 +204,7 @@
             late_commands: LateCommands::default(),
             new_machines: NewMachines::default(),
             absences: Absences::default(),
+            scarcity: Scarcity::default(),
             requests: Requests::default(),
             observer: Observer::new(scale.cancel, "red", scale.team_limit, scale.seats),
         };
--- a/tests/world/sim/network.rs
+++ b/tests/world/sim/network.rs
@@ -40,6 +40,6 @@
     pub(super) fn worker_path(&mut self, node: usize, zone: usize) -> Option<Duration> {
         let apart = self.workers_apart[node];
         let at = self.path(node, zone)?;
-        Some(at.max(apart))
+        Some(at.max(apart) + self.link_delay())
     }
 }
--- a/tests/world/sim/sabotage.rs
+++ b/tests/world/sim/sabotage.rs
@@ -7,6 +7,8 @@
     NoWorkerLease,
     NoTeamLimit,
     BlindForPlaces,
+    /// All jobs look as if they had the lowest priority.
+    BlindForPriorities,
     DeafForCancellations,
     ForgetEnds,
     BelieveRunning,
--- a/tests/world/sim/users.rs
+++ b/tests/world/sim/users.rs
@@ -93,7 +93,7 @@
         }
     }
 
-    pub(super) fn spec(&self, task: &TaskId) -> &JobSpec {
+    pub(crate) fn spec(&self, task: &TaskId) -> &JobSpec {
         &self.job(task).spec
     }
 
@@ -150,6 +150,9 @@
             Input::Status { request, id }
         } else if asking == Asking::Submit {
             let mut spec = job.spec.clone();
+            if self.sabotage == Sabotage::BlindForPriorities {
+                spec.priority = Priority::Low;
+            }
             if self.sabotage == Sabotage::BlindForPlaces {
                 spec.zone = None;
                 spec.one_zone = false;
