An older change does not bring back a job that this node has ended

Cause: the answer to a watch that was sent before arrives after the node has stored a job's end. The copy took the job in again until the next event, and a leader could start it after its user was told that it is cancelled. Change: the copy remembers its own ends until the watch has come that far.

--- a/src/core/front.rs
+++ b/src/core/front.rs
@@ -372,9 +372,7 @@
                     done: 0,
                 };
                 self.keep_final(id.clone(), record);
-                if revision > self.mirror.cursor {
-                    self.mirror.jobs.remove(&id);
-                }
+                self.mirror.committed_end(&id, revision);
                 if let Some(leader) = &mut self.leader {
                     leader.remove_job(&id, now);
                 }
--- a/src/core/mirror.rs
+++ b/src/core/mirror.rs
@@ -47,6 +47,9 @@
     pub settled: u64,
     pub types: Option<Arc<Vec<MachineType>>>,
     pub jobs: BTreeMap<JobId, LiveJob>,
+    /// Jobs that this node has ended, and the revision, until the watch has come that far:
+    /// an older change that arrives meanwhile must not bring one back.
+    ended: BTreeMap<JobId, u64>,
     /// The generation of the stored forms, and the revision of its key; 0: there is none.
     pub cluster: (Cluster, u64),
     pub orders: (Orders, u64),
@@ -103,6 +106,8 @@
             noticed.extend(self.apply(event));
         }
         self.cursor = self.cursor.max(revision);
+        let cursor = self.cursor;
+        self.ended.retain(|_, ended| *ended > cursor);
         noticed
     }
 
@@ -200,13 +205,22 @@
     }
 
     fn add_job(&mut self, id: JobId, record: JobRecord, version: u64) -> bool {
-        let known = self.jobs.get(&id).is_some_and(|j| j.version >= version);
+        let known = self.jobs.get(&id).is_some_and(|j| j.version >= version)
+            || self.ended.get(&id).is_some_and(|ended| *ended >= version);
         if !known {
             self.jobs.insert(id, LiveJob { record, version });
         }
         !known
     }
 
+    /// The end of a job that this node has stored, known before the watch brings it.
+    pub fn committed_end(&mut self, id: &JobId, revision: u64) {
+        if revision > self.cursor {
+            self.jobs.remove(id);
+            self.ended.insert(id.clone(), revision);
+        }
+    }
+
     /// A change of this node's own, known before the watch brings it. One that
     /// the watch has brought already may be outdated, so it is passed over. So is one that
     /// comes while everything is read again: the job may be over before the first page.
--- a/src/core/saves.rs
+++ b/src/core/saves.rs
@@ -396,9 +396,7 @@
             Save::Finish { ended, ends, .. } => {
                 for (id, record) in ended.iter().filter(|_| committed) {
                     self.keep_final(id.clone(), *record);
-                    if revision > self.mirror.cursor {
-                        self.mirror.jobs.remove(id);
-                    }
+                    self.mirror.committed_end(id, revision);
                 }
                 if let Some((range, _)) = ends {
                     let rest = if committed { RANGE_RESTS } else { BACK_OFF };
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -8,6 +8,7 @@
         Answer, CallId, Clock, Input, Node, Output,
         config::{Config, Options},
         job::{JobId, JobRecord},
+        mirror::Mirror,
         store::{Entry, Event, StateReply, StateRequest, job_key},
     },
     settings::Settings,
@@ -286,3 +287,21 @@
     asked.reply(read, StateReply::Missing);
     assert_eq!(asked.answer(2), Some(Answer::NotFound));
 }
+
+/// The answer to an older watch came after this node had stored the job's end, and a leader took
+/// the job up once more.
+#[test]
+fn an_older_change_does_not_bring_back_a_job_that_this_node_has_ended() {
+    let change = |value: Option<_>, revision| Event {
+        key: job_key(&id()),
+        value,
+        revision,
+    };
+    let mut copy = Mirror::default();
+    copy.advance(&[], 10);
+    copy.committed_end(&id(), 13);
+    assert_eq!(copy.advance(&[change(Some(entry(12).value), 12)], 12), []);
+    assert!(copy.jobs.is_empty());
+    assert_eq!(copy.advance(&[change(None, 13)], 13), []);
+    assert!(copy.jobs.is_empty());
+}
--- a/tests/world/sim/state_service.rs
+++ b/tests/world/sim/state_service.rs
@@ -62,6 +62,7 @@
                 _ => self.state.call(now, &request),
             };
             self.look_at_commit(&request, reply.as_ref());
+            self.note_claim(node, &request, reply.as_ref());
             if self.state.revision() != before {
                 self.wake_watches();
                 self.look_at_stage();
