--- a/tests/world/cases.rs
+++ b/tests/world/cases.rs
@@ -70,6 +70,10 @@
     /// The same at the very moment at which the state service refuses the leader alone; a
     /// second later it is away for all.
     RefusedThenAway,
+    /// Messages between nodes and workers take a large part of a second.
+    SlowLinks,
+    /// Half of the machines end in the zone that has most tasks bound to it.
+    ZoneLosesMachines,
     /// The leader's own watch tells nothing while users cancel.
     SilentWatch,
     /// A third of the machines reach no controller; direct commands reach them.
@@ -81,7 +85,7 @@
     /// Direct commands are carried out 2 to 16 s late and not answered.
     LateCommands,
     /// Users cancel most of what runs, and machines with it hang for that long.
-    CancelBurst,
+    CancelAndHang,
     /// Machines are up within two seconds, and the leader ends as they get work.
     NewMachines,
     /// All processes end, and are back after that time.
@@ -175,10 +179,12 @@
                 let names = self.workers.keys().step_by(3).cloned().collect();
                 self.mute.silence(names, self.now, until);
             }
+            Case::SlowLinks => self.slow_links(until),
+            Case::ZoneLosesMachines => self.lose_machines(),
             Case::KeptCopies => self.keep_copies(until),
             Case::HeldReports => self.hold_reports(until),
             Case::LateCommands => self.delay_commands(until),
-            Case::CancelBurst => self.cancel_burst(lasts),
+            Case::CancelAndHang => self.cancel_and_hang(lasts),
             Case::NewMachines => self.new_machines(until),
             Case::AllAway => self.all_away(lasts),
             Case::HandOverAndBack => self.hand_over_and_back(lasts),
