--- a/tests/world/liveness.rs
+++ b/tests/world/liveness.rs
@@ -218,7 +218,8 @@
     ..LIVELY
 };
 
-fn world(scale: Scale, seed: u64, sabotage: Sabotage, troubles: &[(u64, Case, u64)]) -> World {
+/// A world with these troubles, each at its millisecond and for its seconds, played to its end.
+pub fn world(scale: Scale, seed: u64, sabotage: Sabotage, troubles: &[(u64, Case, u64)]) -> World {
     let mut world = World::sized(scale, seed, sabotage).quick();
     for (at, case, seconds) in troubles {
         world = world.with(*at, *case, Duration::from_secs(*seconds));
@@ -228,7 +229,8 @@
     world
 }
 
-fn holds(scale: Scale, seed: u64, troubles: &[(u64, Case, u64)]) -> World {
+/// The same; no rule is broken and no job left waiting.
+pub fn holds(scale: Scale, seed: u64, troubles: &[(u64, Case, u64)]) -> World {
     let world = world(scale, seed, Sabotage::None, troubles);
     let what = format!("seed {seed}, {troubles:?}");
     assert_eq!(world.observer.broken(), Vec::<String>::new(), "{what}");
--- a/tests/world/scarcity.rs
+++ b/tests/world/scarcity.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     cases::Case,
+    liveness::{self, world},
     seeds,
     sim::{MEDIUM, Sabotage, Scale, World, ZONES, ms},
 };
@@ -75,20 +76,9 @@
     ..MEDIUM
 };
 
-fn world(scale: Scale, seed: u64, sabotage: Sabotage, troubles: &[(u64, Case, u64)]) -> World {
-    let mut world = World::sized(scale, seed, sabotage).quick();
-    for (at, case, seconds) in troubles {
-        world = world.with(*at, *case, Duration::from_secs(*seconds));
-    }
-    world.liveness.settled = Some(Duration::from_secs(70));
-    world.run();
-    world
-}
-
 fn holds(scale: Scale, seed: u64, troubles: &[(u64, Case, u64)]) -> World {
-    let world = world(scale, seed, Sabotage::None, troubles);
+    let world = liveness::holds(scale, seed, troubles);
     let what = format!("seed {seed}, {troubles:?}");
-    assert_eq!(world.observer.broken(), Vec::<String>::new(), "{what}");
     assert!(world.observer.starts > 40, "{what}: ran too little");
     world
 }
