--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -1,6 +1,8 @@
 //! What a node answers while it can't serve: users at once, with when to come
 //! back; workers once there is a leader.
 
+mod node_settings;
+
 use std::{sync::Arc, time::Duration};
 
 use kiteyard::{
@@ -17,23 +19,9 @@
         signs::Sign,
         store::{Entry, Event, LEADER, SIGN, StateReply, StateRequest},
     },
-    settings::Settings,
     wire,
 };
 
-const SETTINGS: &str = r#"{
-  "label": "n0", "api_addr": "127.0.0.1:1", "cluster_listen": "127.0.0.1:2",
-  "known": [{"label": "n1", "peer_addr": "127.0.0.1:5"}, {"label": "n2", "peer_addr": "127.0.0.1:6"}],
-  "outside": {"cloud": "127.0.0.1:3", "state": "127.0.0.1:4"},
-  "params": {
-    "zones": ["a"], "teams": [{"name": "red"}],
-    "workers": {"report_s": 1.0, "lease_s": 10.0, "gang_wait_s": 30.0, "gang_peer_s": 5.0, "cancel_s": 30.0},
-    "state": {"rps": 80.0, "write_rps": 30.0, "value_kb": 16.0, "txn_ops": 16},
-    "cloud": {"rps": 8.0, "list_lag_s": 10.0},
-    "resources": {"sockets": 700}
-  }
-}"#;
-
 const JOB: &str = r#"{"uid": "run-000001", "flight": "work", "crew": "red", "shape": "array",
   "lift": "standard", "strings": 1, "cpus": 1.0, "gpus": 0.0, "mem_gb": 1.0, "sail": "img",
   "size_gb": 1.0, "same_place": false, "spread": false, "gusts": false, "airtime_s": 1.0,
@@ -77,7 +65,7 @@
 /// A submission is never held back so that its user does not ask again.
 #[test]
 fn a_submission_that_cannot_be_taken_is_answered_in_the_same_step() {
-    let settings = Settings::parse(SETTINGS).expect("good settings");
+    let settings = node_settings::with_peers(2);
     let mut node = Node::new(Config::new(&settings, Options::default()));
     let is_list = |request: &StateRequest| matches!(request, StateRequest::List { .. });
     let is_accept = |request: &StateRequest| matches!(request, StateRequest::Txn { conditions, .. } if conditions.iter().any(|c| c.key == "live/job/run-000001"));
@@ -147,7 +135,7 @@
         incarnation,
         ..Options::default()
     };
-    let settings = Settings::parse(SETTINGS).expect("good settings");
+    let settings = node_settings::with_peers(2);
     let mut node = Node::new(Config::new(&settings, options));
     let outputs = step(&mut node, 1, Input::Tick);
     let call = state_call(&outputs, |r| matches!(r, StateRequest::List { .. }));
--- /dev/null
+++ b/tests/node_settings/mod.rs
@@ -0,0 +1,29 @@
+//! Settings of one node, `n0`, for tests that drive its core by hand.
+
+use kiteyard::settings::Settings;
+use serde_json::json;
+
+/// The first port of the other nodes' addresses; nothing listens there.
+const PEER_PORT: usize = 5;
+
+/// Settings with so many other nodes, `n1` and on.
+pub fn with_peers(peers: usize) -> Settings {
+    let known: Vec<_> = (0..peers)
+        .map(|peer| {
+            let label = format!("n{}", peer + 1);
+            json!({"label": label, "peer_addr": format!("127.0.0.1:{}", PEER_PORT + peer)})
+        })
+        .collect();
+    let text = json!({
+        "label": "n0", "api_addr": "127.0.0.1:1", "cluster_listen": "127.0.0.1:2", "known": known,
+        "outside": {"cloud": "127.0.0.1:3", "state": "127.0.0.1:4"},
+        "params": {
+            "zones": ["a"], "teams": [{"name": "red"}],
+            "workers": {"report_s": 1.0, "lease_s": 10.0, "gang_wait_s": 30.0, "gang_peer_s": 5.0, "cancel_s": 30.0},
+            "state": {"rps": 80.0, "write_rps": 30.0, "value_kb": 16.0, "txn_ops": 16},
+            "cloud": {"rps": 8.0, "list_lag_s": 10.0},
+            "resources": {"sockets": 700}
+        }
+    });
+    Settings::parse(&text.to_string()).expect("good settings")
+}
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -1,6 +1,8 @@
 //! Users' requests that a node must not take, and questions that reach it while it reads
 //! everything again.
 
+mod node_settings;
+
 use std::{sync::Arc, time::Duration};
 
 use kiteyard::{
@@ -11,7 +13,6 @@
         mirror::Mirror,
         store::{Entry, Event, StateReply, StateRequest, job_key},
     },
-    settings::Settings,
     wire::user::parse_submission,
 };
 use serde_json::{Value, json};
@@ -133,18 +134,6 @@
     assert!(parse_submission(twice.as_bytes(), true).is_err());
 }
 
-const SETTINGS: &str = r#"{
-  "label": "n0", "api_addr": "127.0.0.1:1", "cluster_listen": "127.0.0.1:2", "known": [],
-  "outside": {"cloud": "127.0.0.1:3", "state": "127.0.0.1:4"},
-  "params": {
-    "zones": ["a"], "teams": [{"name": "red"}],
-    "workers": {"report_s": 1.0, "lease_s": 10.0, "gang_wait_s": 30.0, "gang_peer_s": 5.0, "cancel_s": 30.0},
-    "state": {"rps": 80.0, "write_rps": 30.0, "value_kb": 16.0, "txn_ops": 16},
-    "cloud": {"rps": 8.0, "list_lag_s": 10.0},
-    "resources": {"sockets": 700}
-  }
-}"#;
-
 /// A node whose every request to the state service is answered by hand.
 struct Asked {
     node: Node,
@@ -154,7 +143,7 @@
 
 impl Asked {
     fn new() -> Self {
-        let settings = Settings::parse(SETTINGS).expect("good settings");
+        let settings = node_settings::with_peers(0);
         let node = Node::new(Config::new(&settings, Options::default()));
         let outputs = Vec::new();
         Self {
--- a/tests/unreadable.rs
+++ b/tests/unreadable.rs
@@ -1,33 +1,20 @@
 //! What a node does with records that it can't read: each was once taken for absent.
 
+mod node_settings;
+
 use std::time::Duration;
 
-use kiteyard::{
-    core::{
-        Answer, Clock, Input, Node, Output,
-        config::{Config, Options},
-        job::JobId,
-        store::{
-            APART, Change, DRAINS, Entry, Event, GENERATION, LEADER, ORDERS, PROGRESS, ROSTER,
-            SETTLED, StateReply, StateRequest, TYPES,
-        },
+use kiteyard::core::{
+    Answer, Clock, Input, Node, Output,
+    config::{Config, Options},
+    job::JobId,
+    store::{
+        APART, Change, DRAINS, Entry, Event, GENERATION, LEADER, ORDERS, PROGRESS, ROSTER, SETTLED,
+        StateReply, StateRequest, TYPES,
     },
-    settings::Settings,
 };
 use serde_json::value::RawValue;
 
-const SETTINGS: &str = r#"{
-  "label": "n0", "api_addr": "127.0.0.1:1", "cluster_listen": "127.0.0.1:2",
-  "known": [{"label": "n1", "peer_addr": "127.0.0.1:5"}],
-  "outside": {"cloud": "127.0.0.1:3", "state": "127.0.0.1:4"},
-  "params": {
-    "zones": ["a"], "teams": [{"name": "red"}],
-    "workers": {"report_s": 1.0, "lease_s": 10.0, "gang_wait_s": 30.0, "gang_peer_s": 5.0, "cancel_s": 30.0},
-    "state": {"rps": 80.0, "write_rps": 30.0, "value_kb": 16.0, "txn_ops": 16},
-    "cloud": {"rps": 8.0, "list_lag_s": 10.0},
-    "resources": {"sockets": 700}
-  }
-}"#;
 /// A form of some later build.
 const NEWER: &str = r#"{"form":9}"#;
 const TYPE: &str = r#"[{"name":"m","size":{"cpus":8.0,"gpus":0.0,"memory_gb":64.0},"cache_gb":5.0,
@@ -61,7 +48,7 @@
         if live.iter().all(|entry| entry.key != TYPES) {
             live.push(entry(TYPES, TYPE));
         }
-        let settings = Settings::parse(SETTINGS).expect("good settings");
+        let settings = node_settings::with_peers(1);
         let mut bench = Self {
             node: Node::new(Config::new(&settings, Options::default())),
             now: 0,
