--- /dev/null
+++ b/crates/scale-test/src/config.rs
@@ -0,0 +1,378 @@
+//! The file that says what is run: fleet, teams, load, faults, limits and duration.
+
+use std::{path::PathBuf, time::Duration};
+
+use kiteyard_stand_ins::availability::Outage;
+use serde::{Deserialize, Serialize};
+
+/// What is wrong with a file, in one line.
+#[derive(Debug, thiserror::Error, PartialEq)]
+pub enum ConfigError {
+    #[error("{0}")]
+    Form(String),
+    #[error("`{field}`: {message}")]
+    Field { field: String, message: String },
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Config {
+    pub name: String,
+    #[serde(default = "one")]
+    pub seed: u64,
+    /// The controllers' program.
+    #[serde(default = "default_binary")]
+    pub binary: PathBuf,
+    pub duration: DurationConfig,
+    pub controllers: ControllersConfig,
+    pub fleet: FleetConfig,
+    pub teams: TeamsConfig,
+    pub load: LoadConfig,
+    pub state: StateConfig,
+    pub cloud: CloudConfig,
+    #[serde(default, rename = "fault")]
+    pub faults: Vec<Fault>,
+}
+
+fn one() -> u64 {
+    1
+}
+
+fn default_binary() -> PathBuf {
+    "target/release/kiteyard".into()
+}
+
+/// Faults and the peak are timed from when a controller is ready; outages from the start of
+/// their service, some seconds before.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DurationConfig {
+    /// Before anything is measured.
+    pub warmup_s: f64,
+    pub measured_s: f64,
+    /// After the last submission, for jobs to end.
+    pub drain_s: f64,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ControllersConfig {
+    pub count: usize,
+    /// Of one core, as told to the controllers; nothing enforces it.
+    pub cpu_share: f64,
+    pub sockets: usize,
+    pub memory_mb: f64,
+    /// A controller that is ended is started again after so long.
+    #[serde(default = "default_restart_s")]
+    pub restart_s: f64,
+}
+
+fn default_restart_s() -> f64 {
+    4.0
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FleetConfig {
+    pub workers: usize,
+    pub zones: Vec<String>,
+    /// Of each machine.
+    pub cpus: f64,
+    pub mem_gb: f64,
+    pub boot_s: f64,
+    pub fetch_gb_per_s: f64,
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub cancel_s: f64,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TeamsConfig {
+    pub count: usize,
+    /// Of the fleet's CPUs, for each team.
+    pub guarantee_share: f64,
+    pub limit_share: f64,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LoadConfig {
+    /// Task starts a second that the arrivals ask for, for each worker.
+    pub starts_per_worker_s: f64,
+    /// Mean of a geometric distribution.
+    pub tasks_per_job: f64,
+    /// Median and sigma of a log-normal distribution.
+    pub run_s: f64,
+    pub run_sigma: f64,
+    /// Urgent jobs a second, of one task each, whatever the size of the fleet.
+    pub urgent_jobs_per_s: f64,
+    pub urgent_run_s: f64,
+    pub images: usize,
+    pub image_gb: f64,
+    #[serde(default)]
+    pub peak: Option<Peak>,
+}
+
+/// A time with more arrivals.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Peak {
+    pub at_s: f64,
+    pub for_s: f64,
+    pub times: f64,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StateConfig {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: usize,
+    pub latency_ms: f64,
+    #[serde(default, rename = "outage")]
+    pub outages: Vec<Outage>,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CloudConfig {
+    pub rps: f64,
+    pub list_lag_s: f64,
+    pub latency_ms: f64,
+    #[serde(default, rename = "outage")]
+    pub outages: Vec<Outage>,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case", deny_unknown_fields)]
+pub enum Fault {
+    /// A controller's process is ended, and started again.
+    ControllerRestart { at_s: f64, controller: usize },
+    /// Machines stop without notice; the cloud lists them as failed.
+    MachinesFail { at_s: f64, count: usize },
+}
+
+impl Fault {
+    pub fn at(&self) -> Duration {
+        match self {
+            Self::ControllerRestart { at_s, .. } | Self::MachinesFail { at_s, .. } => {
+                Duration::from_secs_f64(*at_s)
+            }
+        }
+    }
+}
+
+const CONTROLLERS_MOST: usize = 49;
+const WORKERS_MOST: usize = 20_000;
+const TEAMS_MOST: usize = 1_000;
+const DURATION_MOST_S: f64 = 7_200.0;
+const NAME_MOST: usize = 64;
+/// Beyond any number that a run on one machine can use.
+const AMOUNT_MOST: f64 = 1e6;
+
+impl Config {
+    pub fn parse(text: &str) -> Result<Self, ConfigError> {
+        let config: Self = kiteyard_toml_file::parse(text)
+            .map_err(|wrong| ConfigError::Form(wrong.to_string()))?;
+        config.check()?;
+        Ok(config)
+    }
+
+    /// The same cell with another fleet; teams and load go with its size.
+    pub fn with_workers(&self, workers: usize) -> Result<Self, ConfigError> {
+        let mut config = self.clone();
+        config.fleet.workers = workers;
+        config.check()?;
+        Ok(config)
+    }
+
+    /// The same cell with another load.
+    pub fn with_starts(&self, starts_per_worker_s: f64) -> Result<Self, ConfigError> {
+        let mut config = self.clone();
+        config.load.starts_per_worker_s = starts_per_worker_s;
+        config.check()?;
+        Ok(config)
+    }
+
+    pub fn fleet_cpus(&self) -> f64 {
+        self.fleet.workers as f64 * self.fleet.cpus
+    }
+
+    pub fn team_limit_cpus(&self) -> f64 {
+        self.fleet_cpus() * self.teams.limit_share
+    }
+
+    /// How long users submit.
+    pub fn submitting(&self) -> Duration {
+        Duration::from_secs_f64(self.duration.warmup_s + self.duration.measured_s)
+    }
+
+    fn check(&self) -> Result<(), ConfigError> {
+        self.check_name()?;
+        self.check_counts()?;
+        self.check_positive()?;
+        self.check_shares()?;
+        self.check_outages()?;
+        self.check_faults()
+    }
+
+    fn check_name(&self) -> Result<(), ConfigError> {
+        let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_');
+        let length = 1..=NAME_MOST;
+        if !length.contains(&self.name.len()) || !self.name.chars().all(plain) {
+            return fail(
+                "name",
+                "must have 1 to 64 letters, digits, dashes or underscores",
+            );
+        }
+        Ok(())
+    }
+
+    fn check_counts(&self) -> Result<(), ConfigError> {
+        for (field, value, most) in [
+            (
+                "controllers.count",
+                self.controllers.count,
+                CONTROLLERS_MOST,
+            ),
+            ("fleet.workers", self.fleet.workers, WORKERS_MOST),
+            ("teams.count", self.teams.count, TEAMS_MOST),
+            ("load.images", self.load.images, TEAMS_MOST),
+        ] {
+            if !(1..=most).contains(&value) {
+                return fail(field, format!("must be 1 to {most}"));
+            }
+        }
+        if self.fleet.zones.is_empty() || self.fleet.zones.iter().any(String::is_empty) {
+            return fail("fleet.zones", "must name at least one zone");
+        }
+        Ok(())
+    }
+
+    fn check_positive(&self) -> Result<(), ConfigError> {
+        for (field, value) in [
+            ("duration.measured_s", self.duration.measured_s),
+            ("controllers.cpu_share", self.controllers.cpu_share),
+            ("controllers.memory_mb", self.controllers.memory_mb),
+            ("fleet.cpus", self.fleet.cpus),
+            ("fleet.mem_gb", self.fleet.mem_gb),
+            ("fleet.fetch_gb_per_s", self.fleet.fetch_gb_per_s),
+            ("fleet.report_s", self.fleet.report_s),
+            ("fleet.lease_s", self.fleet.lease_s),
+            ("fleet.cancel_s", self.fleet.cancel_s),
+            ("load.tasks_per_job", self.load.tasks_per_job),
+            ("load.run_s", self.load.run_s),
+            ("load.urgent_run_s", self.load.urgent_run_s),
+            ("state.rps", self.state.rps),
+            ("state.write_rps", self.state.write_rps),
+            ("state.value_kb", self.state.value_kb),
+            ("cloud.rps", self.cloud.rps),
+        ] {
+            if !(value > 0.0 && value < AMOUNT_MOST) {
+                return fail(field, "must be above 0");
+            }
+        }
+        for (field, value) in [
+            ("duration.warmup_s", self.duration.warmup_s),
+            ("duration.drain_s", self.duration.drain_s),
+            ("controllers.restart_s", self.controllers.restart_s),
+            ("fleet.boot_s", self.fleet.boot_s),
+            ("load.starts_per_worker_s", self.load.starts_per_worker_s),
+            ("load.run_sigma", self.load.run_sigma),
+            ("load.urgent_jobs_per_s", self.load.urgent_jobs_per_s),
+            ("load.image_gb", self.load.image_gb),
+            ("state.latency_ms", self.state.latency_ms),
+            ("cloud.latency_ms", self.cloud.latency_ms),
+            ("cloud.list_lag_s", self.cloud.list_lag_s),
+        ] {
+            if !(0.0..AMOUNT_MOST).contains(&value) {
+                return fail(field, "must be 0 or more");
+            }
+        }
+        let duration = &self.duration;
+        if duration.warmup_s + duration.measured_s + duration.drain_s > DURATION_MOST_S {
+            let message = format!("all three together must be {DURATION_MOST_S} s at most");
+            return fail("duration", message);
+        }
+        if self.load.tasks_per_job < 1.0 {
+            return fail("load.tasks_per_job", "must be 1 or more");
+        }
+        if self.fleet.lease_s < 2.0 * self.fleet.report_s {
+            return fail("fleet.lease_s", "must be twice `fleet.report_s` or more");
+        }
+        Ok(())
+    }
+
+    fn check_shares(&self) -> Result<(), ConfigError> {
+        let teams = &self.teams;
+        if !(0.0..=1.0).contains(&teams.guarantee_share) {
+            return fail("teams.guarantee_share", "must be 0 to 1");
+        }
+        if !(teams.limit_share > 0.0 && teams.limit_share <= 1.0) {
+            return fail("teams.limit_share", "must be above 0, and 1 at most");
+        }
+        if teams.limit_share < teams.guarantee_share {
+            return fail("teams.limit_share", "is less than `teams.guarantee_share`");
+        }
+        if self.team_limit_cpus() < 1.0 {
+            return fail("teams.limit_share", "leaves a team less than one CPU");
+        }
+        if let Some(peak) = &self.load.peak {
+            let fits = peak.at_s >= 0.0 && peak.for_s > 0.0 && peak.times > 0.0;
+            if !fits || peak.at_s + peak.for_s > self.submitting().as_secs_f64() {
+                return fail(
+                    "load.peak",
+                    "must lie within the warm-up and what is measured",
+                );
+            }
+        }
+        Ok(())
+    }
+
+    fn check_outages(&self) -> Result<(), ConfigError> {
+        for (field, outages) in [
+            ("state.outage", &self.state.outages),
+            ("cloud.outage", &self.cloud.outages),
+        ] {
+            let possible = |outage: &Outage| outage.at_s >= 0.0 && outage.for_s > 0.0;
+            if !outages.iter().all(possible) {
+                return fail(field, "`at_s` must be 0 or more, `for_s` above 0");
+            }
+        }
+        Ok(())
+    }
+
+    fn check_faults(&self) -> Result<(), ConfigError> {
+        let end = self.submitting().as_secs_f64();
+        for fault in &self.faults {
+            let at_s = match fault {
+                Fault::ControllerRestart { at_s, controller } => {
+                    if *controller >= self.controllers.count {
+                        return fail("fault.controller", "there is no such controller");
+                    }
+                    at_s
+                }
+                Fault::MachinesFail { at_s, count } => {
+                    if !(1..=self.fleet.workers).contains(count) {
+                        return fail("fault.count", "must be 1 to `fleet.workers`");
+                    }
+                    at_s
+                }
+            };
+            if !(0.0..=end).contains(at_s) {
+                let message = "must lie within the warm-up and what is measured";
+                return fail("fault.at_s", message);
+            }
+        }
+        Ok(())
+    }
+}
+
+fn fail(field: &str, message: impl Into<String>) -> Result<(), ConfigError> {
+    Err(ConfigError::Field {
+        field: field.to_owned(),
+        message: message.into(),
+    })
+}
--- /dev/null
+++ b/crates/scale-test/src/fleet.rs
@@ -0,0 +1,520 @@
+//! All hollow workers: their reports, the one server at which controllers reach them, and
+//! the machines that the cloud lists.
+//!
+//! One listener serves every worker, since a listener for each would take another socket a
+//! worker of the few that a process may have. Each worker has an address of its own in
+//! 127.0.0.0/8 with the listener's port, and the address that a connection came to tells
+//! which worker is meant. The listener is bound to the loopback device.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    ops::Bound,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError, RwLock,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::Method;
+use kiteyard_stand_ins::{
+    cloud::{Machine, MachineState, MachineType, Machines, Rental},
+    http::{Asked, Connection, Reply, Traffic, serve},
+};
+use serde::Deserialize;
+use tokio::{net::TcpSocket, sync::Notify};
+
+use crate::{
+    config::FleetConfig,
+    jobs::Jobs,
+    observer::Observer,
+    worker::{Commands, DirectOutcome, HollowWorker, SentReport, WorkerSpec},
+};
+
+pub const MACHINE_TYPE: &str = "m4";
+const LOOPBACK_DEVICE: &[u8] = b"lo";
+const BACKLOG: u32 = 4096;
+/// The first of the addresses that workers have.
+const FIRST_ADDRESS: Ipv4Addr = Ipv4Addr::new(127, 64, 0, 1);
+
+/// Times of the protocol that are the same everywhere.
+const ANSWER_WITHIN: Duration = Duration::from_secs(4);
+const NEXT_CONTROLLER_AFTER: Duration = Duration::from_secs(1);
+const REDIRECT_MOST_S: f64 = 0.5;
+const REPORTS_APART: Duration = Duration::from_millis(500);
+/// Reports go out at their interval, give or take so much.
+const REPORT_SPREAD: f64 = 0.25;
+/// A boot takes its nominal time times this, at least and at most.
+const BOOT_TIMES: (f64, f64) = (0.6, 1.5);
+
+/// Where controllers take reports.
+#[derive(Debug, Clone)]
+pub struct Controller {
+    pub name: String,
+    pub address: SocketAddr,
+}
+
+struct Slot {
+    number: u64,
+    zone: String,
+    rented: Duration,
+    boots_until: Duration,
+    worker: Mutex<HollowWorker>,
+    changed: Notify,
+    state: Mutex<SlotState>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum SlotState {
+    Up,
+    Failed,
+    Gone,
+}
+
+/// Counted since the start.
+#[derive(Debug, Default)]
+pub struct FleetCounts {
+    pub reports: AtomicU64,
+    pub reports_answered: AtomicU64,
+    pub redirects: AtomicU64,
+    pub reports_failed: AtomicU64,
+    pub answers_dropped: AtomicU64,
+    pub direct_commands: AtomicU64,
+    pub direct_refused: AtomicU64,
+    /// Reports answered with 200, by controller.
+    pub answered_by: Vec<AtomicU64>,
+}
+
+/// A fleet of hollow workers.
+#[derive(Clone)]
+pub struct Fleet {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    config: FleetConfig,
+    seed: u64,
+    port: u16,
+    controllers: Vec<Controller>,
+    jobs: Arc<Jobs>,
+    observer: Arc<Observer>,
+    inner: RwLock<Inner>,
+    counts: FleetCounts,
+    report_traffic: Arc<Traffic>,
+    direct_traffic: Arc<Traffic>,
+}
+
+#[derive(Default)]
+struct Inner {
+    created: u64,
+    by_name: BTreeMap<String, Arc<Slot>>,
+    by_address: HashMap<IpAddr, Arc<Slot>>,
+}
+
+#[derive(Deserialize)]
+struct Redirect {
+    #[serde(default)]
+    spotter: Option<String>,
+}
+
+fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn count(counter: &AtomicU64) {
+    counter.fetch_add(1, Ordering::Relaxed);
+}
+
+impl Fleet {
+    /// Listens for the controllers; there are no workers yet.
+    pub fn start(
+        config: &FleetConfig,
+        seed: u64,
+        controllers: Vec<Controller>,
+        jobs: Arc<Jobs>,
+        observer: Arc<Observer>,
+    ) -> std::io::Result<Self> {
+        let socket = TcpSocket::new_v4()?;
+        socket.bind_device(Some(LOOPBACK_DEVICE))?;
+        socket.bind(SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0)))?;
+        let listener = socket.listen(BACKLOG)?;
+        let counts = FleetCounts {
+            answered_by: controllers.iter().map(|_| AtomicU64::new(0)).collect(),
+            ..FleetCounts::default()
+        };
+        let fleet = Self {
+            shared: Arc::new(Shared {
+                config: config.clone(),
+                seed,
+                port: listener.local_addr()?.port(),
+                controllers,
+                jobs,
+                observer,
+                inner: RwLock::default(),
+                counts,
+                report_traffic: Arc::default(),
+                direct_traffic: Arc::default(),
+            }),
+        };
+        let answering = fleet.clone();
+        let traffic = fleet.shared.direct_traffic.clone();
+        tokio::spawn(serve(listener, traffic, move |asked| {
+            let reply = answering.direct(&asked);
+            async move { reply }
+        }));
+        Ok(fleet)
+    }
+
+    pub fn counts(&self) -> &FleetCounts {
+        &self.shared.counts
+    }
+
+    pub fn report_traffic(&self) -> &Traffic {
+        &self.shared.report_traffic
+    }
+
+    pub fn direct_traffic(&self) -> &Traffic {
+        &self.shared.direct_traffic
+    }
+
+    /// Machines that are up at once, spread over the zones. Their reports begin within one
+    /// interval.
+    pub fn start_workers(&self, workers: usize) {
+        let zones = &self.shared.config.zones;
+        for number in 0..workers {
+            self.start_worker(&zones[number % zones.len()], Duration::ZERO);
+        }
+    }
+
+    fn start_worker(&self, zone: &str, boots: Duration) -> String {
+        let shared = &self.shared;
+        let now = shared.observer.now();
+        let mut inner = shared.inner.write().unwrap_or_else(PoisonError::into_inner);
+        inner.created += 1;
+        let number = inner.created;
+        let address = Ipv4Addr::from(u32::from(FIRST_ADDRESS) + number as u32 - 1);
+        let spec = WorkerSpec {
+            name: format!("vm-{number:06}"),
+            endpoint: SocketAddr::from((address, shared.port)),
+            machine_type: MACHINE_TYPE.to_owned(),
+            zone: zone.to_owned(),
+            cpus: shared.config.cpus,
+            mem_gb: shared.config.mem_gb,
+            fetch_gb_per_s: shared.config.fetch_gb_per_s,
+            lease: Duration::from_secs_f64(shared.config.lease_s),
+        };
+        let name = spec.name.clone();
+        let up = now + boots;
+        let worker = HollowWorker::new(spec, shared.jobs.clone(), shared.seed ^ number, up);
+        let slot = Arc::new(Slot {
+            number,
+            zone: zone.to_owned(),
+            rented: now,
+            boots_until: up,
+            worker: Mutex::new(worker),
+            changed: Notify::new(),
+            state: Mutex::new(SlotState::Up),
+        });
+        inner.by_name.insert(name.clone(), slot.clone());
+        inner.by_address.insert(IpAddr::V4(address), slot.clone());
+        tokio::spawn(self.clone().report_for_ever(slot));
+        name
+    }
+
+    /// Machines stop without notice.
+    pub fn fail_machines(&self, count: usize) {
+        let up: Vec<Arc<Slot>> = {
+            let inner = self.read();
+            let up = inner
+                .by_name
+                .values()
+                .filter(|slot| *locked(&slot.state) == SlotState::Up);
+            up.take(count).cloned().collect()
+        };
+        for slot in up {
+            self.stop(&slot, SlotState::Failed);
+        }
+    }
+
+    fn stop(&self, slot: &Slot, becomes: SlotState) {
+        *locked(&slot.state) = becomes;
+        let mut worker = locked(&slot.worker);
+        worker.stop(self.shared.observer.now());
+        self.tell(&mut worker);
+        drop(worker);
+        slot.changed.notify_one();
+    }
+
+    fn read(&self) -> std::sync::RwLockReadGuard<'_, Inner> {
+        self.shared
+            .inner
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Hands over what happened on the machine, while nothing else can happen there.
+    fn tell(&self, worker: &mut HollowWorker) {
+        let events = worker.take_events();
+        self.shared.observer.happened(&worker.spec().name, &events);
+    }
+
+    /// Whatever a controller asks of a worker.
+    fn direct(&self, asked: &Asked) -> Reply {
+        let slot = self.read().by_address.get(&asked.local.ip()).cloned();
+        let now = self.shared.observer.now();
+        let Some(slot) = slot.filter(|slot| slot.boots_until <= now) else {
+            return Reply::new(503, "{}");
+        };
+        if *locked(&slot.state) != SlotState::Up {
+            return Reply::new(503, "{}");
+        }
+        match (&asked.method, asked.path.as_str()) {
+            (&Method::POST, "/do") => self.execute(&slot, now, &asked.body),
+            (&Method::GET, "/show") => {
+                let mut worker = locked(&slot.worker);
+                let (report, _) = worker.report(now);
+                self.tell(&mut worker);
+                Reply::new(200, report)
+            }
+            _ => Reply::new(404, "{}"),
+        }
+    }
+
+    fn execute(&self, slot: &Slot, now: Duration, body: &[u8]) -> Reply {
+        let counts = &self.shared.counts;
+        count(&counts.direct_commands);
+        let Ok(commands) = serde_json::from_slice::<Commands>(body) else {
+            return Reply::new(400, "{}");
+        };
+        let mut worker = locked(&slot.worker);
+        let outcome = worker.direct(now, &commands);
+        let (report, _) = worker.report(now);
+        self.tell(&mut worker);
+        drop(worker);
+        slot.changed.notify_one();
+        match outcome {
+            DirectOutcome::Executed => Reply::new(200, report),
+            DirectOutcome::Refused => {
+                count(&counts.direct_refused);
+                Reply::new(409, report)
+            }
+            DirectOutcome::Malformed => Reply::new(400, "{}"),
+        }
+    }
+
+    async fn report_for_ever(self, slot: Arc<Slot>) {
+        let shared = self.shared.clone();
+        let interval = shared.config.report_s;
+        let booting = slot.boots_until.saturating_sub(shared.observer.now());
+        tokio::time::sleep(booting).await;
+        let first = locked(&slot.worker).draw() * interval;
+        let mut due = shared.observer.now() + Duration::from_secs_f64(first);
+        let mut reporter = Reporter {
+            controller: slot.number as usize % shared.controllers.len(),
+            connection: None,
+        };
+        let mut last_sent = None;
+        loop {
+            let now = shared.observer.now();
+            let wake = self.advance(&slot, now, &mut due, last_sent);
+            if *locked(&slot.state) != SlotState::Up {
+                return;
+            }
+            if now < due {
+                let pause = wake.saturating_sub(now);
+                let _ = tokio::time::timeout(pause, slot.changed.notified()).await;
+                continue;
+            }
+            last_sent = Some(now);
+            let pause = self.report(&slot, &mut reporter).await;
+            let spread = 1.0 + REPORT_SPREAD * (2.0 * locked(&slot.worker).draw() - 1.0);
+            due = match pause {
+                Some(pause) => shared.observer.now() + pause,
+                None => now + Duration::from_secs_f64(interval * spread),
+            };
+        }
+    }
+
+    /// Lets the worker do what is due, and brings its report forward if something changed.
+    /// When to look again.
+    fn advance(
+        &self,
+        slot: &Slot,
+        now: Duration,
+        due: &mut Duration,
+        last_sent: Option<Duration>,
+    ) -> Duration {
+        let mut worker = locked(&slot.worker);
+        worker.advance(now);
+        self.tell(&mut worker);
+        if worker.take_changed() {
+            let earliest = last_sent.map_or(now, |sent| now.max(sent + REPORTS_APART));
+            *due = (*due).min(earliest);
+        }
+        worker.next_due().min(*due)
+    }
+
+    /// One report. A pause, where the next one goes elsewhere.
+    async fn report(&self, slot: &Slot, reporter: &mut Reporter) -> Option<Duration> {
+        let shared = &self.shared;
+        let counts = &shared.counts;
+        let (text, sent) = {
+            let mut worker = locked(&slot.worker);
+            let report = worker.report(shared.observer.now());
+            // What changed by now is in the report.
+            worker.take_changed();
+            self.tell(&mut worker);
+            report
+        };
+        count(&counts.reports);
+        let to = &shared.controllers[reporter.controller];
+        let traffic = &shared.report_traffic;
+        let connection = reporter
+            .connection
+            .get_or_insert_with(|| Connection::new(to.address, traffic.clone()));
+        let body = Bytes::from(text);
+        let answer = connection
+            .call(Method::POST, "/checkin", body, ANSWER_WITHIN)
+            .await;
+        match answer {
+            Some((200, body)) => {
+                count(&counts.reports_answered);
+                count(&counts.answered_by[reporter.controller]);
+                self.take_answer(slot, sent, &body);
+                None
+            }
+            Some((421, body)) => {
+                count(&counts.redirects);
+                reporter.connection = None;
+                let draw = locked(&slot.worker).draw();
+                Some(reporter.redirected(&shared.controllers, &body, draw))
+            }
+            _ => {
+                count(&counts.reports_failed);
+                reporter.connection = None;
+                Some(reporter.next(&shared.controllers))
+            }
+        }
+    }
+
+    fn take_answer(&self, slot: &Slot, sent: SentReport, body: &[u8]) {
+        let commands: Commands = serde_json::from_slice(body).unwrap_or_default();
+        let mut worker = locked(&slot.worker);
+        if !worker.answered(self.shared.observer.now(), sent, &commands) {
+            count(&self.shared.counts.answers_dropped);
+        }
+        self.tell(&mut worker);
+    }
+}
+
+/// Where a worker reports.
+struct Reporter {
+    controller: usize,
+    connection: Option<Connection>,
+}
+
+impl Reporter {
+    fn next(&mut self, controllers: &[Controller]) -> Duration {
+        self.controller = (self.controller + 1) % controllers.len();
+        NEXT_CONTROLLER_AFTER
+    }
+
+    fn redirected(&mut self, controllers: &[Controller], body: &[u8], draw: f64) -> Duration {
+        let named = serde_json::from_slice::<Redirect>(body)
+            .ok()
+            .and_then(|redirect| redirect.spotter)
+            .and_then(|name| controllers.iter().position(|other| other.name == name));
+        match named {
+            Some(other) if other != self.controller => {
+                self.controller = other;
+                Duration::from_secs_f64(draw * REDIRECT_MOST_S)
+            }
+            _ => self.next(controllers),
+        }
+    }
+}
+
+impl Machines for Fleet {
+    fn types(&self) -> Vec<MachineType> {
+        let config = &self.shared.config;
+        vec![MachineType {
+            label: MACHINE_TYPE.to_owned(),
+            cpus: config.cpus,
+            gpus: 0.0,
+            mem_gb: config.mem_gb,
+            local_gb: 1_000.0,
+            fetch_gb_per_s: config.fetch_gb_per_s,
+            hourly: 1.0,
+            market_price: 0.4,
+            boot_s: config.boot_s,
+            fields: config.zones.clone(),
+        }]
+    }
+
+    fn list(&self, after: &str, most: usize) -> (Vec<Machine>, bool) {
+        let now = self.shared.observer.now();
+        let inner = self.read();
+        let range = (Bound::Excluded(after), Bound::Unbounded);
+        let mut slots = inner.by_name.range::<str, _>(range);
+        let machines = slots.by_ref().take(most).map(|(name, slot)| {
+            let attitude = match *locked(&slot.state) {
+                SlotState::Up if slot.boots_until > now => MachineState::Starting,
+                SlotState::Up => MachineState::Running,
+                SlotState::Failed | SlotState::Gone => MachineState::Failed,
+            };
+            Machine {
+                uid: name.clone(),
+                endpoint: locked(&slot.worker).spec().endpoint,
+                frame: MACHINE_TYPE.to_owned(),
+                field: slot.zone.clone(),
+                gusts: false,
+                attitude,
+                age_s: now.saturating_sub(slot.rented).as_secs_f64(),
+            }
+        });
+        let machines = machines.collect();
+        (machines, slots.next().is_some())
+    }
+
+    /// There are never more machines than the fleet was to have.
+    fn rent(&self, rental: &Rental) -> Vec<String> {
+        let zone_known = self.shared.config.zones.contains(&rental.field);
+        if rental.frame != MACHINE_TYPE || rental.gusts || !zone_known {
+            return Vec::new();
+        }
+        let free = {
+            let inner = self.read();
+            let up = inner.by_name.values();
+            let up = up.filter(|slot| *locked(&slot.state) == SlotState::Up);
+            self.shared.config.workers.saturating_sub(up.count())
+        };
+        let rented = free.min(rental.how_many as usize);
+        let (least, most) = BOOT_TIMES;
+        let numbers = 0..rented;
+        let names = numbers.map(|number| {
+            // Spread evenly over what is usual, so that no more random numbers are needed.
+            let place = (number as f64 + 0.5) / rented as f64;
+            let boots = self.shared.config.boot_s * (least + (most - least) * place);
+            self.start_worker(&rental.field, Duration::from_secs_f64(boots))
+        });
+        names.collect()
+    }
+
+    fn release(&self, names: &[String]) {
+        for name in names {
+            let slot = self.read().by_name.get(name).cloned();
+            let Some(slot) = slot else { continue };
+            self.stop(&slot, SlotState::Gone);
+            let mut inner = self
+                .shared
+                .inner
+                .write()
+                .unwrap_or_else(PoisonError::into_inner);
+            inner.by_name.remove(name);
+            let address = locked(&slot.worker).spec().endpoint.ip();
+            inner.by_address.remove(&address);
+        }
+    }
+}
--- /dev/null
+++ b/crates/scale-test/src/jobs.rs
@@ -0,0 +1,70 @@
+//! What users upload of their jobs, where workers look it up, and the results that are kept.
+
+use std::{
+    collections::{HashMap, HashSet},
+    sync::{Arc, PoisonError, RwLock},
+};
+
+/// `JOB/NUMBER`, as the protocol names a task.
+pub type TaskName = String;
+
+/// What a worker has to know of a job.
+#[derive(Debug, Clone, PartialEq)]
+pub struct JobDescription {
+    pub id: String,
+    pub team: usize,
+    pub urgent: bool,
+    pub tasks: u32,
+    pub cpus: f64,
+    pub mem_gb: f64,
+    pub image: String,
+    pub image_gb: f64,
+    /// Median and sigma of the run time of a task.
+    pub run_s: f64,
+    pub run_sigma: f64,
+}
+
+/// The job's part of a task's name.
+pub fn job_of(task: &str) -> &str {
+    task.split_once('/').map_or(task, |(job, _)| job)
+}
+
+#[derive(Debug, Default)]
+pub struct Jobs {
+    inner: RwLock<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    jobs: HashMap<String, Arc<JobDescription>>,
+    results: HashSet<TaskName>,
+}
+
+impl Jobs {
+    pub fn upload(&self, job: JobDescription) -> Arc<JobDescription> {
+        let job = Arc::new(job);
+        let mut inner = self.inner.write().unwrap_or_else(PoisonError::into_inner);
+        inner.jobs.insert(job.id.clone(), job.clone());
+        job
+    }
+
+    /// The job of a task, if there is such a task.
+    pub fn of_task(&self, task: &str) -> Option<Arc<JobDescription>> {
+        let (job, number) = task.split_once('/')?;
+        let inner = self.inner.read().unwrap_or_else(PoisonError::into_inner);
+        let job = inner.jobs.get(job)?;
+        let number: u32 = number.parse().ok()?;
+        (number < job.tasks).then(|| job.clone())
+    }
+
+    pub fn keep_result(&self, task: &str) {
+        let mut inner = self.inner.write().unwrap_or_else(PoisonError::into_inner);
+        inner.results.insert(task.to_owned());
+    }
+
+    /// Whether the task has completed somewhere before.
+    pub fn has_result(&self, task: &str) -> bool {
+        let inner = self.inner.read().unwrap_or_else(PoisonError::into_inner);
+        inner.results.contains(task)
+    }
+}
--- /dev/null
+++ b/crates/scale-test/src/latency.rs
@@ -0,0 +1,51 @@
+//! Latencies in a histogram, and what is told of them.
+
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+
+const MICROSECONDS_MOST: u64 = 600_000_000;
+const DIGITS: u8 = 3;
+
+#[derive(Debug)]
+pub struct Latencies {
+    histogram: Histogram<u64>,
+}
+
+/// Percentiles in seconds.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct Percentiles {
+    pub count: u64,
+    pub p50_s: f64,
+    pub p90_s: f64,
+    pub p99_s: f64,
+    pub max_s: f64,
+}
+
+impl Default for Latencies {
+    fn default() -> Self {
+        let histogram = Histogram::new_with_bounds(1, MICROSECONDS_MOST, DIGITS)
+            .expect("the bounds are constants that fit");
+        Self { histogram }
+    }
+}
+
+impl Latencies {
+    pub fn record(&mut self, latency: Duration) {
+        let micros = (latency.as_micros() as u64).clamp(1, MICROSECONDS_MOST);
+        self.histogram.saturating_record(micros);
+    }
+
+    pub fn percentiles(&self) -> Percentiles {
+        let seconds = |micros: u64| micros as f64 / 1e6;
+        let at = |quantile| seconds(self.histogram.value_at_quantile(quantile));
+        Percentiles {
+            count: self.histogram.len(),
+            p50_s: at(0.5),
+            p90_s: at(0.9),
+            p99_s: at(0.99),
+            max_s: seconds(self.histogram.max()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/scale-test/src/main.rs
@@ -0,0 +1,222 @@
+//! The program around the library: arguments, files and exit codes.
+
+use std::{
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
+
+use clap::{Parser, Subcommand, ValueEnum};
+use kiteyard_scale_test::{
+    config::{Config, ConfigError},
+    report::{Axis, report, runs_table},
+    result::RunResult,
+    run::{RunError, run},
+};
+
+/// What was asked for can't be done as it is written.
+const EXIT_USAGE: u8 = 2;
+
+/// Measures one cell of kiteyard on one machine.
+#[derive(Debug, Parser)]
+#[command(name = "scale-test", version)]
+struct Cli {
+    #[command(subcommand)]
+    verb: Verb,
+}
+
+#[derive(Debug, Subcommand)]
+enum Verb {
+    /// Run what the file says, once
+    Run {
+        file: PathBuf,
+        /// Where results, and the controllers' settings and logs, are written
+        #[arg(long, default_value = "scale-results")]
+        out: PathBuf,
+    },
+    /// Run the file's cell with several sizes of its fleet, or several loads, one after another
+    Sweep {
+        file: PathBuf,
+        /// Numbers of workers; teams and load go with them
+        #[arg(long, value_delimiter = ',')]
+        workers: Vec<usize>,
+        /// Task starts a second that are asked for, for each worker
+        #[arg(long, value_delimiter = ',', conflicts_with = "workers")]
+        starts_per_worker: Vec<f64>,
+        #[arg(long, default_value = "scale-results")]
+        out: PathBuf,
+    },
+    /// Fit straight lines to the results of several runs
+    Report {
+        #[arg(required = true)]
+        results: Vec<PathBuf>,
+        /// What the lines go along
+        #[arg(long, value_enum, default_value = "workers")]
+        by: By,
+        /// Also tell what the lines give there
+        #[arg(long)]
+        at: Option<f64>,
+    },
+}
+
+#[derive(Debug, Clone, Copy, ValueEnum)]
+enum By {
+    Workers,
+    Starts,
+}
+
+#[derive(Debug, thiserror::Error)]
+enum Failure {
+    #[error("{path}: {error}")]
+    Config { path: String, error: ConfigError },
+    #[error("{path}: {error}")]
+    File { path: String, error: std::io::Error },
+    #[error("{path}: not a result: {error}")]
+    NotAResult {
+        path: String,
+        error: serde_json::Error,
+    },
+    #[error("sweep: give `--workers` or `--starts-per-worker`")]
+    NothingToSweep,
+    #[error(transparent)]
+    Run(#[from] RunError),
+    #[error("{0} rules were broken or controllers ended; see the result")]
+    Broken(usize),
+}
+
+impl Failure {
+    fn exit_code(&self) -> ExitCode {
+        match self {
+            Self::Config { .. } | Self::NothingToSweep | Self::File { .. } => {
+                ExitCode::from(EXIT_USAGE)
+            }
+            Self::NotAResult { .. } | Self::Run(_) | Self::Broken(_) => ExitCode::FAILURE,
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    match carry_out(cli.verb) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            eprintln!("scale-test: {failure}");
+            failure.exit_code()
+        }
+    }
+}
+
+fn carry_out(verb: Verb) -> Result<(), Failure> {
+    match verb {
+        Verb::Run { file, out } => {
+            let config = load(&file)?;
+            let name = config.name.clone();
+            run_all(&[(name, config)], &out)
+        }
+        Verb::Sweep {
+            file,
+            workers,
+            starts_per_worker,
+            out,
+        } => {
+            let config = load(&file)?;
+            let runs = sweep(&file, &config, &workers, &starts_per_worker)?;
+            run_all(&runs, &out)
+        }
+        Verb::Report { results, by, at } => {
+            let results: Vec<RunResult> = results
+                .iter()
+                .map(|path| read_result(path))
+                .collect::<Result<_, _>>()?;
+            let axis = match by {
+                By::Workers => Axis::Workers,
+                By::Starts => Axis::StartsPerSecond,
+            };
+            print!("{}", report(&results, axis, at));
+            Ok(())
+        }
+    }
+}
+
+/// The runs of a sweep with their names, all of them checked before the first begins.
+fn sweep(
+    file: &Path,
+    config: &Config,
+    workers: &[usize],
+    starts_per_worker: &[f64],
+) -> Result<Vec<(String, Config)>, Failure> {
+    if workers.is_empty() && starts_per_worker.is_empty() {
+        return Err(Failure::NothingToSweep);
+    }
+    let by_workers = workers.iter().map(|count| {
+        let name = format!("{}-{count}-workers", config.name);
+        (name, config.with_workers(*count))
+    });
+    let by_starts = starts_per_worker.iter().map(|starts| {
+        let name = format!("{}-{starts}-starts", config.name);
+        (name, config.with_starts(*starts))
+    });
+    let runs = by_workers.chain(by_starts).map(|(name, changed)| {
+        let changed = changed.map_err(|error| Failure::Config {
+            path: file.display().to_string(),
+            error,
+        })?;
+        Ok((name, changed))
+    });
+    runs.collect()
+}
+
+fn run_all(runs: &[(String, Config)], out: &Path) -> Result<(), Failure> {
+    let mut broken = 0;
+    for (name, config) in runs {
+        // A runtime of its own, so that nothing of one run goes on in the next.
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(HARNESS_THREADS)
+            .enable_all()
+            .build()
+            .map_err(RunError::from)?;
+        let result = runtime.block_on(run(config, &out.join(name)));
+        runtime.shutdown_background();
+        let result = result?;
+        write_result(&out.join(format!("{name}.json")), &result)?;
+        broken += result.violations.len() + result.controllers_ended.len();
+        print!("{}", runs_table(&[&result]));
+    }
+    match broken {
+        0 => Ok(()),
+        _ => Err(Failure::Broken(broken)),
+    }
+}
+
+/// Threads of hollow workers, stand-ins and users; the controllers need cores, too.
+const HARNESS_THREADS: usize = 3;
+
+fn load(path: &Path) -> Result<Config, Failure> {
+    let text = read(path)?;
+    Config::parse(&text).map_err(|error| Failure::Config {
+        path: path.display().to_string(),
+        error,
+    })
+}
+
+fn read_result(path: &Path) -> Result<RunResult, Failure> {
+    let text = read(path)?;
+    serde_json::from_str(&text).map_err(|error| Failure::NotAResult {
+        path: path.display().to_string(),
+        error,
+    })
+}
+
+fn read(path: &Path) -> Result<String, Failure> {
+    std::fs::read_to_string(path).map_err(|error| Failure::File {
+        path: path.display().to_string(),
+        error,
+    })
+}
+
+fn write_result(path: &Path, result: &RunResult) -> Result<(), Failure> {
+    let text = serde_json::to_string_pretty(result).unwrap_or_default() + "\n";
+    std::fs::write(path, text).map_err(|error| Failure::File {
+        path: path.display().to_string(),
+        error,
+    })
+}
--- /dev/null
+++ b/crates/scale-test/src/run.rs
@@ -0,0 +1,318 @@
+//! One run from its start to its result.
+
+use std::{
+    net::SocketAddr,
+    path::Path,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::Method;
+use kiteyard_stand_ins::{
+    availability::Availability,
+    cloud::{CloudService, CloudSettings},
+    http::{Connection, Traffic},
+    state::{StateService, StateSettings},
+};
+
+use crate::{
+    config::{Config, Fault},
+    controllers::{Addresses, Controllers, Services, free_addresses, name},
+    fleet::{Controller, Fleet},
+    guard::{self, Refusal},
+    jobs::Jobs,
+    observer::Observer,
+    procfs,
+    result::{RunResult, StateResult, TasksResult, UsersResult},
+    snapshot::{FleetNumbers, Snapshot, UserNumbers, Window, process_result},
+    users::Users,
+};
+
+/// A controller has this time to be ready.
+const READY_WITHIN: Duration = Duration::from_secs(20);
+const READY_AGAIN: Duration = Duration::from_millis(100);
+const ROUND: Duration = Duration::from_millis(200);
+
+#[derive(Debug, thiserror::Error)]
+pub enum RunError {
+    #[error("refused: {0}")]
+    Refused(#[from] Refusal),
+    #[error(transparent)]
+    Io(#[from] std::io::Error),
+    #[error("no controller was ready within {} s; see its log in {directory}", READY_WITHIN.as_secs())]
+    NotReady { directory: String },
+    #[error("stopped")]
+    Stopped,
+}
+
+/// All that takes part in a run.
+struct Cell {
+    config: Config,
+    controllers: Controllers,
+    addresses: Vec<Addresses>,
+    observer: Arc<Observer>,
+    fleet: Fleet,
+    state: StateService,
+    cloud: CloudService,
+    users: Users,
+    ended: Vec<usize>,
+}
+
+/// Runs the cell; settings and logs of the controllers go to the directory.
+pub async fn run(config: &Config, directory: &Path) -> Result<RunResult, RunError> {
+    let total = procfs::machine_memory_kb();
+    guard::check(config, total, procfs::available_memory_kb())?;
+    std::fs::create_dir_all(directory)?;
+    let load_before = procfs::load_average().unwrap_or(0.0);
+    let mut cell = Cell::start(config, directory).await?;
+    tokio::select! {
+        result = cell.measure(load_before) => Ok(result),
+        _ = tokio::signal::ctrl_c() => Err(RunError::Stopped),
+    }
+}
+
+impl Cell {
+    async fn start(config: &Config, directory: &Path) -> Result<Self, RunError> {
+        let jobs = Arc::new(Jobs::default());
+        let observer = Observer::new(config.team_limit_cpus());
+        let addresses = free_addresses(config.controllers.count)?;
+        let named = addresses.iter().enumerate().map(|(index, own)| Controller {
+            name: name(index),
+            address: own.api,
+        });
+        let fleet = Fleet::start(
+            &config.fleet,
+            config.seed,
+            named.collect(),
+            jobs.clone(),
+            observer.clone(),
+        )?;
+        let (state, state_address) = StateService::start(state_settings(config)).await?;
+        let machines = Arc::new(fleet.clone());
+        let (cloud, cloud_address) = CloudService::start(cloud_settings(config), machines).await?;
+        let services = Services {
+            state: state_address,
+            cloud: cloud_address,
+        };
+        let controllers = Controllers::start(config, directory, &addresses, services)?;
+        let fronts: Vec<SocketAddr> = addresses.iter().map(|own| own.api).collect();
+        let users = Users::new(config, &fronts, jobs, observer.clone());
+        let cell = Self {
+            config: config.clone(),
+            controllers,
+            addresses,
+            observer,
+            fleet,
+            state,
+            cloud,
+            users,
+            ended: Vec::new(),
+        };
+        cell.fleet.start_workers(config.fleet.workers);
+        match cell.ready().await {
+            true => Ok(cell),
+            false => Err(RunError::NotReady {
+                directory: directory.display().to_string(),
+            }),
+        }
+    }
+
+    /// Waits until some controller is ready.
+    async fn ready(&self) -> bool {
+        let until = self.observer.now() + READY_WITHIN;
+        let traffic: Arc<Traffic> = Arc::default();
+        while self.observer.now() < until {
+            for own in &self.addresses {
+                let mut connection = Connection::new(own.api, traffic.clone());
+                let asked = connection.call(Method::GET, "/ready", Bytes::new(), READY_AGAIN);
+                if matches!(asked.await, Some((200, _))) {
+                    return true;
+                }
+            }
+            tokio::time::sleep(READY_AGAIN).await;
+        }
+        false
+    }
+
+    async fn measure(&mut self, load_before: f64) -> RunResult {
+        let begins = self.observer.now();
+        let from = begins + Duration::from_secs_f64(self.config.duration.warmup_s);
+        let until = from + Duration::from_secs_f64(self.config.duration.measured_s);
+        self.observer.measure(from, until);
+        let users = self.users.clone();
+        let submitting = tokio::spawn(async move { users.submit_until(until).await });
+        self.play_faults(begins, from).await;
+        let first = self.snapshot();
+        self.play_faults(begins, until).await;
+        let last = self.snapshot();
+        submitting.abort();
+        let drained = until + Duration::from_secs_f64(self.config.duration.drain_s);
+        self.drain(drained).await;
+        self.result(&first, &last, load_before)
+    }
+
+    /// Plays what is due until that time, and looks after the controllers.
+    async fn play_faults(&mut self, begins: Duration, until: Duration) {
+        let mut restarts: Vec<(Duration, usize)> = Vec::new();
+        let restart_after = Duration::from_secs_f64(self.config.controllers.restart_s);
+        loop {
+            let now = self.observer.now();
+            let mut due = Vec::new();
+            self.config.faults.retain(|fault| {
+                let is_due = begins + fault.at() <= now;
+                if is_due {
+                    due.push(fault.clone());
+                }
+                !is_due
+            });
+            for fault in due {
+                match fault {
+                    Fault::ControllerRestart { controller, .. } => {
+                        self.controllers.end_one(controller);
+                        restarts.push((now + restart_after, controller));
+                    }
+                    Fault::MachinesFail { count, .. } => self.fleet.fail_machines(count),
+                }
+            }
+            for (_, controller) in restarts.extract_if(.., |(at, _)| *at <= now) {
+                // Told as ended if it can't be started.
+                if self.controllers.start_one(controller).is_err() {
+                    self.ended.push(controller);
+                }
+            }
+            if now >= until && restarts.is_empty() {
+                return;
+            }
+            let pause = match now < until {
+                true => (until - now).min(ROUND),
+                false => ROUND,
+            };
+            tokio::time::sleep(pause).await;
+        }
+    }
+
+    /// Waits for accepted jobs to be done, for so long at most.
+    async fn drain(&self, until: Duration) {
+        while self.observer.now() < until {
+            let counts = self.observer.job_counts();
+            if counts.done == counts.accepted {
+                return;
+            }
+            tokio::time::sleep(ROUND).await;
+        }
+    }
+
+    fn snapshot(&mut self) -> Snapshot {
+        self.ended.extend(self.controllers.ended());
+        let fleet = self.fleet.counts();
+        let users = self.users.counts();
+        let traffic = |pick: fn(&Traffic) -> u64| {
+            pick(self.fleet.report_traffic()) + pick(self.fleet.direct_traffic())
+        };
+        let user_traffic = self.users.traffic();
+        Snapshot {
+            at: self.observer.now(),
+            processes: self.controllers.sample(),
+            harness: procfs::sample(std::process::id()).unwrap_or_default(),
+            answered_by: fleet
+                .answered_by
+                .iter()
+                .map(|answered| answered.load(Ordering::Relaxed))
+                .collect(),
+            state: self.state.counts(),
+            cloud: self.cloud.counts(),
+            fleet: FleetNumbers {
+                reports: fleet.reports.load(Ordering::Relaxed),
+                redirects: fleet.redirects.load(Ordering::Relaxed),
+                reports_failed: fleet.reports_failed.load(Ordering::Relaxed),
+                answers_dropped: fleet.answers_dropped.load(Ordering::Relaxed),
+                direct_commands: fleet.direct_commands.load(Ordering::Relaxed),
+                direct_refused: fleet.direct_refused.load(Ordering::Relaxed),
+                sent: traffic(Traffic::sent),
+                received: traffic(Traffic::received),
+            },
+            users: UserNumbers {
+                submissions: users.submissions.load(Ordering::Relaxed),
+                polls: users.polls.load(Ordering::Relaxed),
+                retries: users.retries.load(Ordering::Relaxed),
+                polls_failed: users.polls_failed.load(Ordering::Relaxed),
+                bytes: user_traffic.sent() + user_traffic.received(),
+            },
+            starts: self.observer.starts(),
+            completed: self.observer.completed_tasks(),
+            running: self.observer.running(),
+        }
+    }
+
+    fn result(&self, first: &Snapshot, last: &Snapshot, load_before: f64) -> RunResult {
+        let window = Window {
+            first,
+            last,
+            seconds: (last.at - first.at).as_secs_f64(),
+        };
+        let leader = window.leader();
+        let (keys, bytes) = self.state.size();
+        let observed = self.observer.observed();
+        let workers = self.config.fleet.workers as f64;
+        let load = &self.config.load;
+        RunResult {
+            measured_s: window.seconds,
+            load_average_before: load_before,
+            load_average_after: procfs::load_average().unwrap_or(0.0),
+            leader: window.controller(leader),
+            followers: window.followers(leader),
+            controllers_ended: self.ended.clone(),
+            state: StateResult {
+                keys,
+                bytes,
+                ..window.state()
+            },
+            cloud: window.cloud(),
+            workers: window.workers(workers),
+            users: UsersResult {
+                not_accepted: self.users.counts().not_accepted.load(Ordering::Relaxed),
+                submit_latency: observed.submissions,
+                poll_latency: observed.polls,
+                ..window.users()
+            },
+            tasks: TasksResult {
+                asked_starts_per_s: load.starts_per_worker_s * workers + load.urgent_jobs_per_s,
+                starts_per_s: window.rate(|at| at.starts),
+                completed_per_s: window.rate(|at| at.completed),
+                running: last.running,
+                urgent_start: observed.urgent_starts,
+                other_start: observed.other_starts,
+            },
+            harness: process_result(Some(&first.harness), Some(&last.harness), window.seconds),
+            jobs: self.observer.job_counts(),
+            violations: self.observer.violations(),
+            config: self.config.clone(),
+        }
+    }
+}
+
+fn state_settings(config: &Config) -> StateSettings {
+    let state = &config.state;
+    StateSettings {
+        rps: state.rps,
+        write_rps: state.write_rps,
+        value_kb: state.value_kb,
+        txn_ops: state.txn_ops,
+        availability: Availability {
+            latency: Duration::from_secs_f64(state.latency_ms / 1000.0),
+            outages: state.outages.clone(),
+        },
+    }
+}
+
+fn cloud_settings(config: &Config) -> CloudSettings {
+    let cloud = &config.cloud;
+    CloudSettings {
+        rps: cloud.rps,
+        availability: Availability {
+            latency: Duration::from_secs_f64(cloud.latency_ms / 1000.0),
+            outages: cloud.outages.clone(),
+        },
+    }
+}
--- /dev/null
+++ b/crates/scale-test/src/snapshot.rs
@@ -0,0 +1,166 @@
+//! Counters at two moments, and the rates that lie between them.
+
+use std::time::Duration;
+
+use kiteyard_stand_ins::{cloud::CloudCounts, state::StateCounts};
+
+use crate::{
+    procfs::ProcessSample,
+    result::{CloudResult, ControllerResult, StateResult, UsersResult, WorkersResult},
+};
+
+/// Counters at one moment.
+pub struct Snapshot {
+    pub at: Duration,
+    pub processes: Vec<Option<ProcessSample>>,
+    pub harness: ProcessSample,
+    pub answered_by: Vec<u64>,
+    pub state: StateCounts,
+    pub cloud: CloudCounts,
+    pub fleet: FleetNumbers,
+    pub users: UserNumbers,
+    pub starts: u64,
+    pub completed: u64,
+    pub running: usize,
+}
+
+pub struct FleetNumbers {
+    pub reports: u64,
+    pub redirects: u64,
+    pub reports_failed: u64,
+    pub answers_dropped: u64,
+    pub direct_commands: u64,
+    pub direct_refused: u64,
+    pub sent: u64,
+    pub received: u64,
+}
+
+pub struct UserNumbers {
+    pub submissions: u64,
+    pub polls: u64,
+    pub retries: u64,
+    pub polls_failed: u64,
+    pub bytes: u64,
+}
+
+/// What lies between two moments.
+pub struct Window<'a> {
+    pub first: &'a Snapshot,
+    pub last: &'a Snapshot,
+    pub seconds: f64,
+}
+
+impl Window<'_> {
+    pub fn rate(&self, pick: impl Fn(&Snapshot) -> u64) -> f64 {
+        pick(self.last).saturating_sub(pick(self.first)) as f64 / self.seconds
+    }
+
+    /// Who answered the most reports.
+    pub fn leader(&self) -> usize {
+        let answered = |index: &usize| {
+            let index = *index;
+            self.last.answered_by[index] - self.first.answered_by[index]
+        };
+        (0..self.last.answered_by.len())
+            .max_by_key(answered)
+            .unwrap_or(0)
+    }
+
+    pub fn controller(&self, index: usize) -> ControllerResult {
+        let first = self.first.processes[index].as_ref();
+        process_result(first, self.last.processes[index].as_ref(), self.seconds)
+    }
+
+    pub fn followers(&self, leader: usize) -> Option<ControllerResult> {
+        let others: Vec<ControllerResult> = (0..self.last.processes.len())
+            .filter(|index| *index != leader)
+            .map(|index| self.controller(index))
+            .collect();
+        if others.is_empty() {
+            return None;
+        }
+        let mean = |pick: fn(&ControllerResult) -> f64| {
+            others.iter().map(pick).sum::<f64>() / others.len() as f64
+        };
+        Some(ControllerResult {
+            cores: mean(|other| other.cores),
+            resident_mb: mean(|other| other.resident_mb),
+            peak_resident_mb: mean(|other| other.peak_resident_mb),
+            sockets: mean(|other| other.sockets),
+        })
+    }
+
+    pub fn state(&self) -> StateResult {
+        StateResult {
+            requests_per_s: self.rate(|at| at.state.requests),
+            changes_per_s: self.rate(|at| at.state.changes),
+            transactions_per_s: self.rate(|at| at.state.transactions),
+            watches_per_s: self.rate(|at| at.state.watches),
+            refused_per_s: self.rate(|at| at.state.refused_requests + at.state.refused_changes),
+            bytes_received_per_s: self.rate(|at| at.state.bytes_received),
+            bytes_sent_per_s: self.rate(|at| at.state.bytes_sent),
+            keys: 0,
+            bytes: 0,
+            counts: self.last.state,
+        }
+    }
+
+    pub fn cloud(&self) -> CloudResult {
+        CloudResult {
+            requests_per_s: self.rate(|at| at.cloud.requests),
+            refused_per_s: self.rate(|at| at.cloud.refused),
+            bytes_per_s: self.rate(|at| at.cloud.bytes_received + at.cloud.bytes_sent),
+            counts: self.last.cloud,
+        }
+    }
+
+    pub fn workers(&self, workers: f64) -> WorkersResult {
+        WorkersResult {
+            reports_per_s: self.rate(|at| at.fleet.reports),
+            redirects_per_s: self.rate(|at| at.fleet.redirects),
+            reports_failed_per_s: self.rate(|at| at.fleet.reports_failed),
+            answers_dropped_per_s: self.rate(|at| at.fleet.answers_dropped),
+            direct_commands_per_s: self.rate(|at| at.fleet.direct_commands),
+            direct_refused_per_s: self.rate(|at| at.fleet.direct_refused),
+            bytes_sent_per_worker_s: self.rate(|at| at.fleet.sent) / workers,
+            bytes_received_per_worker_s: self.rate(|at| at.fleet.received) / workers,
+            bytes_per_s: self.rate(|at| at.fleet.sent + at.fleet.received),
+        }
+    }
+
+    pub fn users(&self) -> UsersResult {
+        UsersResult {
+            submissions_per_s: self.rate(|at| at.users.submissions),
+            polls_per_s: self.rate(|at| at.users.polls),
+            retries_per_s: self.rate(|at| at.users.retries),
+            polls_failed_per_s: self.rate(|at| at.users.polls_failed),
+            bytes_per_s: self.rate(|at| at.users.bytes),
+            not_accepted: 0,
+            submit_latency: Default::default(),
+            poll_latency: Default::default(),
+        }
+    }
+}
+
+pub fn process_result(
+    first: Option<&ProcessSample>,
+    last: Option<&ProcessSample>,
+    seconds: f64,
+) -> ControllerResult {
+    let Some(last) = last else {
+        return ControllerResult::default();
+    };
+    // A process that was started again has used less than before.
+    let before = first.map_or(0.0, |first| first.cpu_s);
+    let used = if last.cpu_s >= before {
+        last.cpu_s - before
+    } else {
+        last.cpu_s
+    };
+    ControllerResult {
+        cores: used / seconds,
+        resident_mb: last.resident_kb as f64 / 1024.0,
+        peak_resident_mb: last.peak_resident_kb as f64 / 1024.0,
+        sockets: last.sockets as f64,
+    }
+}
--- /dev/null
+++ b/crates/scale-test/src/users.rs
@@ -0,0 +1,314 @@
+//! Users: an arrival process, submissions with retries, and polls until a job is done.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::Method;
+use kiteyard_stand_ins::http::{Connection, Traffic};
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use rand_distr::{Distribution, Exp, Geometric};
+use serde::Deserialize;
+use serde_json::json;
+
+use crate::{
+    checks::JobState,
+    config::{Config, LoadConfig},
+    controllers::team_name,
+    jobs::{JobDescription, Jobs},
+    observer::Observer,
+};
+
+/// Times of the protocol.
+const SUBMIT_WITHIN: Duration = Duration::from_secs(5);
+const SUBMIT_AGAIN: Duration = Duration::from_secs(1);
+const SUBMIT_FOR: Duration = Duration::from_secs(60);
+const POLL_EVERY_S: f64 = 5.0;
+const POLL_WITHIN: Duration = Duration::from_secs(2);
+/// Polls are spread, so that users don't ask in step.
+const POLL_SPREAD: f64 = 0.2;
+
+const TASK_CPUS: f64 = 1.0;
+const TASK_MEM_GB: f64 = 1.0;
+const TASKS_MOST: u64 = 10_000;
+/// Each kind of jobs draws from a sequence of its own.
+const URGENT_SEED: u64 = 0x5eed;
+
+/// Counted since the start.
+#[derive(Debug, Default)]
+pub struct UserCounts {
+    pub submissions: AtomicU64,
+    pub not_accepted: AtomicU64,
+    pub retries: AtomicU64,
+    pub polls: AtomicU64,
+    pub polls_failed: AtomicU64,
+}
+
+/// Users of one run.
+#[derive(Clone)]
+pub struct Users {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    config: Config,
+    fronts: Vec<Front>,
+    jobs: Arc<Jobs>,
+    observer: Arc<Observer>,
+    counts: UserCounts,
+    traffic: Arc<Traffic>,
+    next_job: AtomicU64,
+}
+
+/// Connections to one controller that nobody uses just now.
+struct Front {
+    address: SocketAddr,
+    idle: Mutex<Vec<Connection>>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum JobKind {
+    Ordinary,
+    Urgent,
+}
+
+#[derive(Deserialize)]
+struct JobAnswer {
+    attitude: JobState,
+}
+
+fn count(counter: &AtomicU64) {
+    counter.fetch_add(1, Ordering::Relaxed);
+}
+
+impl Users {
+    pub fn new(
+        config: &Config,
+        controllers: &[SocketAddr],
+        jobs: Arc<Jobs>,
+        observer: Arc<Observer>,
+    ) -> Self {
+        let fronts = controllers.iter().map(|address| Front {
+            address: *address,
+            idle: Mutex::default(),
+        });
+        Self {
+            shared: Arc::new(Shared {
+                config: config.clone(),
+                fronts: fronts.collect(),
+                jobs,
+                observer,
+                counts: UserCounts::default(),
+                traffic: Arc::default(),
+                next_job: AtomicU64::new(1),
+            }),
+        }
+    }
+
+    pub fn counts(&self) -> &UserCounts {
+        &self.shared.counts
+    }
+
+    pub fn traffic(&self) -> &Traffic {
+        &self.shared.traffic
+    }
+
+    /// Submits until that time; every job is followed on its own.
+    pub async fn submit_until(&self, end: Duration) {
+        let load = &self.shared.config.load;
+        let workers = self.shared.config.fleet.workers as f64;
+        let jobs_per_s = load.starts_per_worker_s * workers / load.tasks_per_job;
+        tokio::join!(
+            self.arrivals(JobKind::Ordinary, jobs_per_s, end),
+            self.arrivals(JobKind::Urgent, load.urgent_jobs_per_s, end),
+        );
+    }
+
+    async fn arrivals(&self, kind: JobKind, jobs_per_s: f64, end: Duration) {
+        let seed = self.shared.config.seed;
+        let mut random = SmallRng::seed_from_u64(match kind {
+            JobKind::Ordinary => seed,
+            JobKind::Urgent => seed ^ URGENT_SEED,
+        });
+        let observer = &self.shared.observer;
+        let mut at = observer.now();
+        loop {
+            let rate = jobs_per_s * times_at(&self.shared.config.load, at);
+            let Ok(gaps) = Exp::new(rate) else { return };
+            let gap: f64 = gaps.sample(&mut random);
+            match Duration::try_from_secs_f64(gap) {
+                Ok(gap) if at + gap < end => at += gap,
+                _ => return,
+            }
+            tokio::time::sleep(at.saturating_sub(observer.now())).await;
+            let job = self.draw_job(kind, &mut random);
+            let seed = random.random();
+            tokio::spawn(self.clone().follow(job, SmallRng::seed_from_u64(seed)));
+        }
+    }
+
+    fn draw_job(&self, kind: JobKind, random: &mut SmallRng) -> JobDescription {
+        let config = &self.shared.config;
+        let load = &config.load;
+        let urgent = kind == JobKind::Urgent;
+        let number = self.shared.next_job.fetch_add(1, Ordering::Relaxed);
+        JobDescription {
+            id: format!("run-{number:06}"),
+            team: random.random_range(0..config.teams.count),
+            urgent,
+            tasks: if urgent { 1 } else { draw_tasks(load, random) },
+            cpus: TASK_CPUS,
+            mem_gb: TASK_MEM_GB,
+            image: match urgent {
+                true => "img-urgent".to_owned(),
+                false => format!("img-{}", random.random_range(0..load.images)),
+            },
+            // An urgent start is measured without a fetch.
+            image_gb: if urgent { 0.0 } else { load.image_gb },
+            run_s: if urgent {
+                load.urgent_run_s
+            } else {
+                load.run_s
+            },
+            run_sigma: load.run_sigma,
+        }
+    }
+
+    async fn follow(self, job: JobDescription, mut random: SmallRng) {
+        let shared = &self.shared;
+        let text = submission(&job);
+        let id = job.id.clone();
+        let job = shared.jobs.upload(job);
+        let submitted = shared.observer.submitted(job);
+        count(&shared.counts.submissions);
+        if !self.submit(&id, &text, submitted, &mut random).await {
+            count(&shared.counts.not_accepted);
+            return;
+        }
+        self.poll_until_done(&id, &mut random).await;
+    }
+
+    async fn submit(
+        &self,
+        id: &str,
+        text: &str,
+        submitted: Duration,
+        random: &mut SmallRng,
+    ) -> bool {
+        let shared = &self.shared;
+        loop {
+            let body = Bytes::from(text.to_owned());
+            let answer = self
+                .ask(Method::POST, "/work", body, SUBMIT_WITHIN, random)
+                .await;
+            match answer {
+                Some((200 | 201, body)) => {
+                    shared.observer.accepted(id, submitted);
+                    if let Ok(answer) = serde_json::from_slice::<JobAnswer>(&body) {
+                        shared.observer.told(id, answer.attitude);
+                    }
+                    return true;
+                }
+                Some((400 | 422, _)) => return false,
+                _ => {}
+            }
+            if shared.observer.now() > submitted + SUBMIT_FOR {
+                return false;
+            }
+            count(&shared.counts.retries);
+            tokio::time::sleep(SUBMIT_AGAIN).await;
+        }
+    }
+
+    async fn poll_until_done(&self, id: &str, random: &mut SmallRng) {
+        let shared = &self.shared;
+        let path = format!("/work/{id}");
+        loop {
+            let spread = 1.0 + POLL_SPREAD * (2.0 * random.random::<f64>() - 1.0);
+            tokio::time::sleep(Duration::from_secs_f64(POLL_EVERY_S * spread)).await;
+            let asked = shared.observer.now();
+            count(&shared.counts.polls);
+            let answer = self
+                .ask(Method::GET, &path, Bytes::new(), POLL_WITHIN, random)
+                .await;
+            match answer {
+                Some((200, body)) => {
+                    shared.observer.polled(asked);
+                    let Ok(answer) = serde_json::from_slice::<JobAnswer>(&body) else {
+                        continue;
+                    };
+                    shared.observer.told(id, answer.attitude);
+                    if answer.attitude == JobState::Done {
+                        return;
+                    }
+                }
+                Some((404, _)) => shared.observer.not_found(id),
+                _ => count(&shared.counts.polls_failed),
+            }
+        }
+    }
+
+    /// One request to any controller, over a connection that is free.
+    async fn ask(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        timeout: Duration,
+        random: &mut SmallRng,
+    ) -> Option<(u16, Bytes)> {
+        let fronts = &self.shared.fronts;
+        let front = &fronts[random.random_range(0..fronts.len())];
+        let idle = {
+            let mut idle = front.idle.lock().unwrap_or_else(PoisonError::into_inner);
+            idle.pop()
+        };
+        let mut connection =
+            idle.unwrap_or_else(|| Connection::new(front.address, self.shared.traffic.clone()));
+        let answer = connection.call(method, path, body, timeout).await;
+        if answer.is_some() {
+            let mut idle = front.idle.lock().unwrap_or_else(PoisonError::into_inner);
+            idle.push(connection);
+        }
+        answer
+    }
+}
+
+/// How many times the usual arrivals there are.
+pub fn times_at(load: &LoadConfig, at: Duration) -> f64 {
+    let at = at.as_secs_f64();
+    match &load.peak {
+        Some(peak) if peak.at_s <= at && at < peak.at_s + peak.for_s => peak.times,
+        _ => 1.0,
+    }
+}
+
+fn draw_tasks(load: &LoadConfig, random: &mut SmallRng) -> u32 {
+    // Failures before the first success have the mean 1/p - 1.
+    let more = match Geometric::new(1.0 / load.tasks_per_job) {
+        Ok(distribution) => distribution.sample(random),
+        Err(_) => 0,
+    };
+    (more + 1).min(TASKS_MOST) as u32
+}
+
+fn submission(job: &JobDescription) -> String {
+    let (class, priority) = match job.urgent {
+        true => ("urgent", "urgent"),
+        false => ("batch", "standard"),
+    };
+    json!({
+        "uid": job.id, "flight": class, "crew": team_name(job.team), "shape": "array",
+        "lift": priority, "strings": job.tasks, "cpus": job.cpus, "gpus": 0.0,
+        "mem_gb": job.mem_gb, "sail": job.image, "size_gb": job.image_gb, "frames": null,
+        "field": null, "same_place": false, "spread": false, "gusts": false,
+        "airtime_s": job.run_s, "tether_s": 0.0, "reel_s": 0.0, "landby_s": null,
+    })
+    .to_string()
+}
--- /dev/null
+++ b/crates/scale-test/tests/measures.rs
@@ -0,0 +1,103 @@
+//! Lines, percentiles, and what is read from the kernel.
+
+use std::time::Duration;
+
+use kiteyard_scale_test::{
+    fit::{Point, fit},
+    latency::Latencies,
+    procfs,
+};
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+
+/// Sum of squares that a line leaves.
+fn left_over(points: &[Point], slope: f64, offset: f64) -> f64 {
+    let errors = points
+        .iter()
+        .map(|point| point.y - slope * point.x - offset);
+    errors.map(|error| error * error).sum()
+}
+
+/// The line that is found by trying: from a coarse grid to ever finer ones.
+fn plain_fit(points: &[Point]) -> (f64, f64) {
+    let (mut slope, mut offset, mut step) = (0.0, 0.0, 8.0);
+    while step > 1e-7 {
+        let steps = [-step, 0.0, step];
+        let tries = steps
+            .iter()
+            .flat_map(|by| steps.iter().map(move |and| (slope + by, offset + and)));
+        let best = tries
+            .min_by(|one, other| {
+                let (one, other) = (
+                    left_over(points, one.0, one.1),
+                    left_over(points, other.0, other.1),
+                );
+                one.total_cmp(&other)
+            })
+            .expect("nine tries");
+        if best == (slope, offset) {
+            step /= 2.0;
+        }
+        (slope, offset) = best;
+    }
+    (slope, offset)
+}
+
+#[test]
+fn the_fit_is_that_of_a_plain_search() {
+    let mut random = SmallRng::seed_from_u64(7);
+    for _ in 0..50 {
+        let (slope, offset) = (
+            random.random_range(-3.0..3.0),
+            random.random_range(-9.0..9.0),
+        );
+        let count = random.random_range(3..9);
+        let points: Vec<Point> = (0..count)
+            .map(|_| {
+                let x: f64 = random.random_range(-2.0..2.0);
+                let y = slope * x + offset + random.random_range(-0.5..0.5);
+                Point { x, y }
+            })
+            .collect();
+        let line = fit(&points).expect("points that differ");
+        let plain = plain_fit(&points);
+        assert!((line.slope - plain.0).abs() < 1e-4, "{line:?} {plain:?}");
+        assert!((line.offset - plain.1).abs() < 1e-4, "{line:?} {plain:?}");
+        let errors = points
+            .iter()
+            .map(|point| (point.y - line.at(point.x)).abs());
+        assert_eq!(line.largest_error, errors.fold(0.0, f64::max));
+    }
+    let point = |x, y| Point { x, y };
+    assert!(fit(&[point(1.0, 2.0)]).is_none());
+    assert!(fit(&[point(1.0, 2.0), point(1.0, 3.0)]).is_none());
+}
+
+#[test]
+fn percentiles_are_those_of_the_sorted_list() {
+    let mut latencies = Latencies::default();
+    for millis in (1..=1_000).rev() {
+        latencies.record(Duration::from_millis(millis));
+    }
+    let told = latencies.percentiles();
+    assert_eq!(told.count, 1_000);
+    for (told, exact) in [
+        (told.p50_s, 0.5),
+        (told.p90_s, 0.9),
+        (told.p99_s, 0.99),
+        (told.max_s, 1.0),
+    ] {
+        assert!((told - exact).abs() <= exact * 0.002, "{told} {exact}");
+    }
+}
+
+#[test]
+fn the_kernel_is_read_as_it_writes() {
+    let stat = "17 (a ) name) S 1 17 17 0 -1 4194304 9 0 0 0 250 50 0 0 20 0 1 0 5 6 7";
+    assert_eq!(procfs::cpu_seconds(stat), Some(3.0));
+    assert_eq!(procfs::cpu_seconds("17 (short) S"), None);
+    let status = "Name:\tx\nVmHWM:\t  2048 kB\nVmRSS:\t  1024 kB\n";
+    assert_eq!(procfs::kilobytes(status, "VmRSS:"), Some(1024));
+    assert_eq!(procfs::kilobytes(status, "VmSwap:"), None);
+    let own = procfs::sample(std::process::id()).expect("this process");
+    assert!(own.resident_kb > 0 && own.peak_resident_kb >= own.resident_kb);
+}
--- /dev/null
+++ b/crates/stand-ins/src/http.rs
@@ -0,0 +1,310 @@
+//! A small HTTP server and client on hyper that count every byte of their connections,
+//! headers included.
+
+use std::{
+    convert::Infallible,
+    future::Future,
+    net::SocketAddr,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{Method, Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::{body::Incoming, client::conn::http1::SendRequest, service::service_fn};
+use hyper_util::rt::TokioIo;
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::{TcpListener, TcpStream},
+    task::JoinHandle,
+};
+
+/// Accepting is tried again after so long when it fails, as it does without free sockets.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
+
+/// Bytes that went over a group of connections, headers included; what TCP and IP add is not.
+#[derive(Debug, Default)]
+pub struct Traffic {
+    received: AtomicU64,
+    sent: AtomicU64,
+}
+
+impl Traffic {
+    pub fn received(&self) -> u64 {
+        self.received.load(Ordering::Relaxed)
+    }
+
+    pub fn sent(&self) -> u64 {
+        self.sent.load(Ordering::Relaxed)
+    }
+}
+
+/// A TCP stream whose bytes are counted.
+struct CountedStream {
+    stream: TcpStream,
+    traffic: Arc<Traffic>,
+}
+
+impl AsyncRead for CountedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        let before = buffer.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let read = buffer.filled().len() - before;
+        self.traffic
+            .received
+            .fetch_add(read as u64, Ordering::Relaxed);
+        polled
+    }
+}
+
+impl CountedStream {
+    fn count_sent(&self, polled: &Poll<std::io::Result<usize>>) {
+        if let Poll::Ready(Ok(sent)) = polled {
+            self.traffic.sent.fetch_add(*sent as u64, Ordering::Relaxed);
+        }
+    }
+}
+
+impl AsyncWrite for CountedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        data: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        let polled = Pin::new(&mut self.stream).poll_write(context, data);
+        self.count_sent(&polled);
+        polled
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        data: &[std::io::IoSlice<'_>],
+    ) -> Poll<std::io::Result<usize>> {
+        let polled = Pin::new(&mut self.stream).poll_write_vectored(context, data);
+        self.count_sent(&polled);
+        polled
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
+
+/// A request as the stand-ins see it.
+#[derive(Debug)]
+pub struct Asked {
+    pub method: Method,
+    pub path: String,
+    pub query: String,
+    pub body: Bytes,
+    /// The address that the client connected to.
+    pub local: SocketAddr,
+}
+
+impl Asked {
+    /// A value from the query, as it stands there.
+    pub fn query(&self, name: &str) -> Option<&str> {
+        self.query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .find(|(key, _)| *key == name)
+            .map(|(_, value)| value)
+    }
+}
+
+/// Status and JSON body of an answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Reply {
+    pub status: u16,
+    pub body: String,
+}
+
+impl Reply {
+    pub fn new(status: u16, body: impl Into<String>) -> Self {
+        Self {
+            status,
+            body: body.into(),
+        }
+    }
+
+    pub fn json(status: u16, body: &impl serde::Serialize) -> Self {
+        Self::new(status, serde_json::to_string(body).unwrap_or_default())
+    }
+}
+
+/// Serves every connection of the listener until the task is dropped.
+pub async fn serve<H, F>(listener: TcpListener, traffic: Arc<Traffic>, handler: H)
+where
+    H: Fn(Asked) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Reply> + Send + 'static,
+{
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_AGAIN).await;
+            continue;
+        };
+        let traffic = traffic.clone();
+        tokio::spawn(serve_connection(stream, traffic, handler.clone()));
+    }
+}
+
+async fn serve_connection<H, F>(stream: TcpStream, traffic: Arc<Traffic>, handler: H)
+where
+    H: Fn(Asked) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Reply> + Send + 'static,
+{
+    let Ok(local) = stream.local_addr() else {
+        return;
+    };
+    let _ = stream.set_nodelay(true);
+    let stream = CountedStream { stream, traffic };
+    let service = service_fn(move |request| answer(request, local, handler.clone()));
+    // A client that goes away in the middle is nothing to report.
+    let _ = hyper::server::conn::http1::Builder::new()
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+}
+
+async fn answer<H, F>(
+    request: Request<Incoming>,
+    local: SocketAddr,
+    handler: H,
+) -> Result<Response<Full<Bytes>>, Infallible>
+where
+    H: Fn(Asked) -> F,
+    F: Future<Output = Reply>,
+{
+    let (head, body) = request.into_parts();
+    let body = match body.collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(_) => Bytes::new(),
+    };
+    let asked = Asked {
+        method: head.method,
+        path: head.uri.path().to_owned(),
+        query: head.uri.query().unwrap_or_default().to_owned(),
+        body,
+        local,
+    };
+    let reply = handler(asked).await;
+    let mut response = Response::new(Full::new(Bytes::from(reply.body)));
+    *response.status_mut() = http::StatusCode::from_u16(reply.status).unwrap_or_default();
+    let json = http::HeaderValue::from_static("application/json");
+    response
+        .headers_mut()
+        .insert(http::header::CONTENT_TYPE, json);
+    Ok(response)
+}
+
+/// One connection to a server, opened when it is needed and kept until it fails.
+pub struct Connection {
+    to: SocketAddr,
+    traffic: Arc<Traffic>,
+    open: Option<Open>,
+}
+
+struct Open {
+    sender: SendRequest<Full<Bytes>>,
+    driver: JoinHandle<()>,
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+impl Connection {
+    pub fn new(to: SocketAddr, traffic: Arc<Traffic>) -> Self {
+        Self {
+            to,
+            traffic,
+            open: None,
+        }
+    }
+
+    pub fn to(&self) -> SocketAddr {
+        self.to
+    }
+
+    /// Status and body of the answer, or none; then the connection is closed.
+    pub async fn call(
+        &mut self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Option<(u16, Bytes)> {
+        let exchange = self.exchange(method, path, body);
+        let answer = tokio::time::timeout(timeout, exchange).await.ok().flatten();
+        if answer.is_none() {
+            self.open = None;
+        }
+        answer
+    }
+
+    async fn exchange(&mut self, method: Method, path: &str, body: Bytes) -> Option<(u16, Bytes)> {
+        let to = self.to;
+        let sender = self.sender().await?;
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(http::header::HOST, to.to_string())
+            .header(http::header::CONTENT_TYPE, "application/json")
+            .body(Full::new(body))
+            .ok()?;
+        let response = sender.send_request(request).await.ok()?;
+        let status = response.status().as_u16();
+        let body = response.into_body().collect().await.ok()?.to_bytes();
+        Some((status, body))
+    }
+
+    /// The open connection, or a new one.
+    async fn sender(&mut self) -> Option<&mut SendRequest<Full<Bytes>>> {
+        let usable = match &mut self.open {
+            Some(open) => open.sender.ready().await.is_ok(),
+            None => false,
+        };
+        if !usable {
+            self.open = Some(self.connect().await?);
+        }
+        self.open.as_mut().map(|open| &mut open.sender)
+    }
+
+    async fn connect(&self) -> Option<Open> {
+        let stream = TcpStream::connect(self.to).await.ok()?;
+        let _ = stream.set_nodelay(true);
+        let traffic = self.traffic.clone();
+        let stream = TokioIo::new(CountedStream { stream, traffic });
+        let (sender, connection) = hyper::client::conn::http1::handshake(stream).await.ok()?;
+        let driver = tokio::spawn(async move {
+            let _ = connection.await;
+        });
+        Some(Open { sender, driver })
+    }
+}
--- /dev/null
+++ b/crates/stand-ins/src/rate_limit.rs
@@ -0,0 +1,35 @@
+//! A token bucket.
+
+use std::time::Duration;
+
+/// Admits `rate` a second on average, and `burst` at once.
+#[derive(Debug)]
+pub struct RateLimit {
+    rate: f64,
+    burst: f64,
+    tokens: f64,
+    refilled: Duration,
+}
+
+impl RateLimit {
+    pub fn new(rate: f64, burst: f64) -> Self {
+        Self {
+            rate,
+            burst,
+            tokens: burst,
+            refilled: Duration::ZERO,
+        }
+    }
+
+    /// Takes `amount` if there is as much. More than the burst is never admitted.
+    pub fn admit(&mut self, now: Duration, amount: f64) -> bool {
+        let passed = now.saturating_sub(self.refilled).as_secs_f64();
+        self.tokens = (self.tokens + passed * self.rate).min(self.burst);
+        self.refilled = self.refilled.max(now);
+        if self.tokens < amount {
+            return false;
+        }
+        self.tokens -= amount;
+        true
+    }
+}
--- /dev/null
+++ b/crates/stand-ins/src/state.rs
@@ -0,0 +1,486 @@
+//! The state service over HTTP, with limits, latency and outages.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use http::Method;
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+use tokio::{net::TcpListener, sync::Notify};
+
+use crate::{
+    availability::Availability,
+    http::{Asked, Reply, Traffic, serve},
+    rate_limit::RateLimit,
+    store::{Change, Condition, Event, Item, Store, TxnError},
+};
+
+/// Leases may end so late.
+const EXPIRY_ROUND: Duration = Duration::from_millis(50);
+const WAIT_MOST_MS: u64 = 60_000;
+const PAGE_DEFAULT: usize = 1_000;
+const TTL_MS: std::ops::RangeInclusive<u64> = 100..=600_000;
+const TXN_BYTES: usize = 64 * 1024;
+
+/// What the service admits and how it behaves.
+#[derive(Debug, Clone)]
+pub struct StateSettings {
+    /// Requests a second.
+    pub rps: f64,
+    /// Puts and deletes a second.
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: usize,
+    pub availability: Availability,
+}
+
+/// Counted since the start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StateCounts {
+    pub requests: u64,
+    pub transactions: u64,
+    pub conflicts: u64,
+    pub changes: u64,
+    pub watches: u64,
+    pub renewals: u64,
+    pub refused_requests: u64,
+    pub refused_changes: u64,
+    pub outage_answers: u64,
+    pub bytes_received: u64,
+    pub bytes_sent: u64,
+}
+
+#[derive(Default)]
+struct Counters {
+    requests: AtomicU64,
+    transactions: AtomicU64,
+    conflicts: AtomicU64,
+    changes: AtomicU64,
+    watches: AtomicU64,
+    renewals: AtomicU64,
+    refused_requests: AtomicU64,
+    refused_changes: AtomicU64,
+    outage_answers: AtomicU64,
+}
+
+struct Inner {
+    store: Store,
+    requests: RateLimit,
+    changes: RateLimit,
+}
+
+/// A running state service.
+#[derive(Clone)]
+pub struct StateService {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    settings: StateSettings,
+    inner: Mutex<Inner>,
+    changed: Notify,
+    counters: Counters,
+    traffic: Arc<Traffic>,
+    started: Instant,
+}
+
+#[derive(Deserialize)]
+struct WireTxn {
+    #[serde(default)]
+    when: Vec<WireCondition>,
+    #[serde(default)]
+    apply: Vec<WireChange>,
+}
+
+#[derive(Deserialize)]
+struct WireCondition {
+    key: String,
+    mark: u64,
+}
+
+#[derive(Deserialize)]
+struct WireChange {
+    set: Option<String>,
+    data: Option<Box<RawValue>>,
+    tether: Option<u64>,
+    delete: Option<String>,
+}
+
+impl WireChange {
+    fn change(self) -> Option<Change> {
+        match (self.set, self.delete) {
+            (Some(key), None) => Some(Change::Put {
+                key,
+                value: self.data?,
+                lease: self.tether,
+            }),
+            (None, Some(key)) => Some(Change::Delete { key }),
+            _ => None,
+        }
+    }
+}
+
+#[derive(Deserialize)]
+struct WireGrant {
+    ttl_ms: u64,
+}
+
+#[derive(Serialize)]
+struct WireItem<'a> {
+    key: &'a str,
+    data: &'a RawValue,
+    mark: u64,
+    tether: Option<u64>,
+}
+
+#[derive(Serialize)]
+struct WirePage<'a> {
+    items: Vec<WireItem<'a>>,
+    more: bool,
+    logline: u64,
+}
+
+#[derive(Serialize)]
+#[serde(untagged)]
+enum WireEvent<'a> {
+    Set {
+        set: &'a str,
+        data: &'a RawValue,
+        mark: u64,
+    },
+    Delete {
+        delete: &'a str,
+        mark: u64,
+    },
+}
+
+#[derive(Serialize)]
+struct WireEvents<'a> {
+    logline: u64,
+    events: Vec<WireEvent<'a>>,
+}
+
+#[derive(Serialize)]
+struct WireConflict<'a> {
+    failed: &'a [String],
+    logline: u64,
+}
+
+fn wire_item(item: &Item) -> WireItem<'_> {
+    WireItem {
+        key: &item.key,
+        data: &item.value,
+        mark: item.revision,
+        tether: item.lease,
+    }
+}
+
+fn wire_event(event: &Event) -> WireEvent<'_> {
+    match &event.value {
+        Some(data) => WireEvent::Set {
+            set: &event.key,
+            data,
+            mark: event.revision,
+        },
+        None => WireEvent::Delete {
+            delete: &event.key,
+            mark: event.revision,
+        },
+    }
+}
+
+fn revision_body(revision: u64) -> String {
+    format!("{{\"logline\":{revision}}}")
+}
+
+fn malformed() -> Reply {
+    Reply::new(400, r#"{"error":"malformed"}"#)
+}
+
+fn too_many() -> Reply {
+    Reply::new(429, r#"{"error":"too many requests"}"#)
+}
+
+fn add(counter: &AtomicU64, amount: u64) {
+    counter.fetch_add(amount, Ordering::Relaxed);
+}
+
+impl StateService {
+    /// Starts to serve on a free port of loopback.
+    pub async fn start(settings: StateSettings) -> std::io::Result<(Self, SocketAddr)> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let inner = Inner {
+            store: Store::default(),
+            requests: RateLimit::new(settings.rps, settings.rps),
+            changes: RateLimit::new(settings.write_rps, settings.write_rps),
+        };
+        let service = Self {
+            shared: Arc::new(Shared {
+                settings,
+                inner: Mutex::new(inner),
+                changed: Notify::new(),
+                counters: Counters::default(),
+                traffic: Arc::default(),
+                started: Instant::now(),
+            }),
+        };
+        tokio::spawn(service.clone().expire_leases());
+        let answering = service.clone();
+        let traffic = service.shared.traffic.clone();
+        tokio::spawn(serve(listener, traffic, move |asked| {
+            answering.clone().answer(asked)
+        }));
+        Ok((service, address))
+    }
+
+    pub fn counts(&self) -> StateCounts {
+        let counters = &self.shared.counters;
+        let read = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        StateCounts {
+            requests: read(&counters.requests),
+            transactions: read(&counters.transactions),
+            conflicts: read(&counters.conflicts),
+            changes: read(&counters.changes),
+            watches: read(&counters.watches),
+            renewals: read(&counters.renewals),
+            refused_requests: read(&counters.refused_requests),
+            refused_changes: read(&counters.refused_changes),
+            outage_answers: read(&counters.outage_answers),
+            bytes_received: self.shared.traffic.received(),
+            bytes_sent: self.shared.traffic.sent(),
+        }
+    }
+
+    /// Keys, and bytes of keys and values.
+    pub fn size(&self) -> (usize, usize) {
+        let inner = self.inner();
+        (inner.store.len(), inner.store.bytes())
+    }
+
+    fn inner(&self) -> MutexGuard<'_, Inner> {
+        self.shared
+            .inner
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn now(&self) -> Duration {
+        self.shared.started.elapsed()
+    }
+
+    fn is_out(&self) -> bool {
+        self.shared.settings.availability.is_out(self.now())
+    }
+
+    async fn expire_leases(self) {
+        let mut was_out = false;
+        loop {
+            tokio::time::sleep(EXPIRY_ROUND).await;
+            let is_out = self.is_out();
+            let now = self.now();
+            if was_out && !is_out {
+                self.inner().store.renew_all(now);
+            }
+            if !is_out && self.inner().store.expire(now) {
+                self.shared.changed.notify_waiters();
+            }
+            was_out = is_out;
+        }
+    }
+
+    async fn answer(self, asked: Asked) -> Reply {
+        let counters = &self.shared.counters;
+        add(&counters.requests, 1);
+        tokio::time::sleep(self.shared.settings.availability.latency).await;
+        if self.is_out() {
+            add(&counters.outage_answers, 1);
+            return Reply::new(503, r#"{"error":"unavailable"}"#);
+        }
+        let now = self.now();
+        if !self.inner().requests.admit(now, 1.0) {
+            add(&counters.refused_requests, 1);
+            return too_many();
+        }
+        let path = asked.path.as_str();
+        match (&asked.method, path) {
+            (&Method::GET, "/kv") => self.list(&asked),
+            (&Method::GET, "/watch") => self.watch(&asked).await,
+            (&Method::POST, "/txn") => self.transact(&asked),
+            (&Method::POST, "/holds") => self.grant(&asked),
+            _ => match (path.strip_prefix("/kv/"), path.strip_prefix("/holds/")) {
+                (Some(key), _) if asked.method == Method::GET => self.get(key),
+                (_, Some(lease)) => self.lease(&asked.method, lease),
+                _ => malformed(),
+            },
+        }
+    }
+
+    fn get(&self, key: &str) -> Reply {
+        let inner = self.inner();
+        match inner.store.get(key) {
+            Some(item) => Reply::json(200, &wire_item(&item)),
+            None => Reply::new(404, revision_body(inner.store.revision())),
+        }
+    }
+
+    fn list(&self, asked: &Asked) -> Reply {
+        let Some(prefix) = asked.query("prefix") else {
+            return malformed();
+        };
+        let most = asked.query("page").and_then(|page| page.parse().ok());
+        let inner = self.inner();
+        let after = asked.query("after");
+        let page = inner
+            .store
+            .list(prefix, after, most.unwrap_or(PAGE_DEFAULT));
+        let body = WirePage {
+            items: page.items.iter().map(wire_item).collect(),
+            more: page.more,
+            logline: inner.store.revision(),
+        };
+        Reply::json(200, &body)
+    }
+
+    async fn watch(&self, asked: &Asked) -> Reply {
+        add(&self.shared.counters.watches, 1);
+        let number = |name| {
+            asked
+                .query(name)
+                .and_then(|value| value.parse::<u64>().ok())
+        };
+        let (Some(prefix), Some(mut after)) = (asked.query("prefix"), number("after")) else {
+            return malformed();
+        };
+        let wait = number("wait_ms").unwrap_or(0).min(WAIT_MOST_MS);
+        let until = tokio::time::Instant::now() + Duration::from_millis(wait);
+        loop {
+            // Registered before looking, so that no change falls in between.
+            let changed = self.shared.changed.notified();
+            tokio::pin!(changed);
+            changed.as_mut().enable();
+            if !self.is_out() {
+                let inner = self.inner();
+                let Some(events) = inner.store.events(prefix, after) else {
+                    return Reply::new(410, "{}");
+                };
+                let logline = inner.store.revision();
+                let over = tokio::time::Instant::now() >= until;
+                if !events.is_empty() || over {
+                    let events = events.iter().map(wire_event).collect();
+                    return Reply::json(200, &WireEvents { logline, events });
+                }
+                after = after.max(logline);
+            }
+            let pause = match self.is_out() {
+                true => tokio::time::Instant::now() + EXPIRY_ROUND,
+                false => until,
+            };
+            // Whichever comes first: both lead to another look.
+            let _ = tokio::time::timeout_at(pause, changed).await;
+        }
+    }
+
+    fn transact(&self, asked: &Asked) -> Reply {
+        let settings = &self.shared.settings;
+        let Ok(txn) = serde_json::from_slice::<WireTxn>(&asked.body) else {
+            return malformed();
+        };
+        let changes: Option<Vec<Change>> = txn.apply.into_iter().map(WireChange::change).collect();
+        let Some(changes) = changes else {
+            return malformed();
+        };
+        let value_most = (settings.value_kb * 1024.0) as usize;
+        let too_large = changes.iter().any(|change| match change {
+            Change::Put { value, .. } => value.get().len() > value_most,
+            Change::Delete { .. } => false,
+        });
+        let too_many_parts =
+            changes.len() > settings.txn_ops || txn.when.len() > settings.txn_ops * 4;
+        if too_large || too_many_parts || asked.body.len() > TXN_BYTES {
+            return malformed();
+        }
+        let conditions: Vec<Condition> = txn
+            .when
+            .into_iter()
+            .map(|condition| Condition {
+                key: condition.key,
+                revision: condition.mark,
+            })
+            .collect();
+        self.commit(&conditions, changes)
+    }
+
+    fn commit(&self, conditions: &[Condition], changes: Vec<Change>) -> Reply {
+        let counters = &self.shared.counters;
+        let now = self.now();
+        let count = changes.len();
+        let mut inner = self.inner();
+        if !inner.changes.admit(now, count as f64) {
+            add(&counters.refused_changes, count as u64);
+            return too_many();
+        }
+        add(&counters.transactions, 1);
+        add(&counters.changes, count as u64);
+        match inner.store.transact(conditions, changes) {
+            Ok(revision) => {
+                if count > 0 {
+                    self.shared.changed.notify_waiters();
+                }
+                Reply::new(200, revision_body(revision))
+            }
+            Err(TxnError::NoSuchLease) => Reply::new(400, r#"{"error":"no such lease"}"#),
+            Err(TxnError::Conflict(failed)) => {
+                add(&counters.conflicts, 1);
+                let logline = inner.store.revision();
+                let failed = &failed;
+                Reply::json(409, &WireConflict { failed, logline })
+            }
+        }
+    }
+
+    fn grant(&self, asked: &Asked) -> Reply {
+        match serde_json::from_slice::<WireGrant>(&asked.body) {
+            Ok(grant) if TTL_MS.contains(&grant.ttl_ms) => {
+                let ttl = Duration::from_millis(grant.ttl_ms);
+                let lease = self.inner().store.grant(self.now(), ttl);
+                Reply::new(200, format!("{{\"tether\":{lease}}}"))
+            }
+            _ => malformed(),
+        }
+    }
+
+    fn lease(&self, method: &Method, path: &str) -> Reply {
+        let (id, renews) = match path.strip_suffix("/renew") {
+            Some(id) => (id, true),
+            None => (path, false),
+        };
+        let Ok(id) = id.parse::<u64>() else {
+            return malformed();
+        };
+        match (method, renews) {
+            (&Method::POST, true) => {
+                add(&self.shared.counters.renewals, 1);
+                let now = self.now();
+                let status = if self.inner().store.renew(now, id) {
+                    200
+                } else {
+                    404
+                };
+                Reply::new(status, "{}")
+            }
+            (&Method::DELETE, false) => {
+                self.inner().store.end_lease(id);
+                self.shared.changed.notify_waiters();
+                Reply::new(200, "{}")
+            }
+            _ => malformed(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/stand-ins/src/store.rs
@@ -0,0 +1,296 @@
+//! The state service's store, without I/O: keys with revisions, transactions, leases, and
+//! the last changes for those who watch.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    ops::Bound,
+    time::Duration,
+};
+
+use serde_json::value::RawValue;
+
+/// Changes that are kept for watches.
+const LOG_MOST: usize = 10_000;
+/// Items and bytes of one page of a list.
+const PAGE_MOST: usize = 1_000;
+const PAGE_BYTES: usize = 512 * 1024;
+
+/// A key with its value and the revision of its last change.
+#[derive(Debug, Clone)]
+pub struct Item {
+    pub key: String,
+    pub value: Box<RawValue>,
+    pub revision: u64,
+    pub lease: Option<u64>,
+}
+
+/// A change as watches see it; no value: deleted.
+#[derive(Debug, Clone)]
+pub struct Event {
+    pub key: String,
+    pub value: Option<Box<RawValue>>,
+    pub revision: u64,
+}
+
+/// One part of a transaction.
+#[derive(Debug, Clone)]
+pub enum Change {
+    Put {
+        key: String,
+        value: Box<RawValue>,
+        lease: Option<u64>,
+    },
+    Delete {
+        key: String,
+    },
+}
+
+/// A key must be at this revision; 0: it must not exist.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Condition {
+    pub key: String,
+    pub revision: u64,
+}
+
+#[derive(Debug, PartialEq, Eq)]
+pub enum TxnError {
+    /// Keys whose condition did not hold.
+    Conflict(Vec<String>),
+    NoSuchLease,
+}
+
+#[derive(Debug)]
+pub struct Page {
+    pub items: Vec<Item>,
+    pub more: bool,
+}
+
+#[derive(Debug)]
+struct Stored {
+    value: Box<RawValue>,
+    revision: u64,
+    lease: Option<u64>,
+}
+
+#[derive(Debug)]
+struct Lease {
+    ttl: Duration,
+    ends: Duration,
+    keys: BTreeSet<String>,
+}
+
+#[derive(Debug, Default)]
+pub struct Store {
+    revision: u64,
+    keys: BTreeMap<String, Stored>,
+    leases: BTreeMap<u64, Lease>,
+    next_lease: u64,
+    log: VecDeque<Event>,
+    /// Revision of the last change that the log no longer has.
+    forgotten: u64,
+}
+
+impl Store {
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    pub fn len(&self) -> usize {
+        self.keys.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.keys.is_empty()
+    }
+
+    /// Bytes of all keys and values.
+    pub fn bytes(&self) -> usize {
+        let sizes = self
+            .keys
+            .iter()
+            .map(|(key, stored)| key.len() + stored.value.get().len());
+        sizes.sum()
+    }
+
+    pub fn get(&self, key: &str) -> Option<Item> {
+        self.keys.get(key).map(|stored| item(key, stored))
+    }
+
+    /// Keys with the prefix, in order, from beyond `after` on.
+    pub fn list(&self, prefix: &str, after: Option<&str>, most: usize) -> Page {
+        let from = match after {
+            Some(after) if after >= prefix => Bound::Excluded(after),
+            _ => Bound::Included(prefix),
+        };
+        let range = self.keys.range::<str, _>((from, Bound::Unbounded));
+        let mut page = Page {
+            items: Vec::new(),
+            more: false,
+        };
+        let mut bytes = 0;
+        for (key, stored) in range.take_while(|(key, _)| key.starts_with(prefix)) {
+            bytes += key.len() + stored.value.get().len();
+            if page.items.len() >= most.min(PAGE_MOST) || bytes > PAGE_BYTES {
+                page.more = true;
+                break;
+            }
+            page.items.push(item(key, stored));
+        }
+        page
+    }
+
+    /// All changes or none; the new revision.
+    pub fn transact(
+        &mut self,
+        conditions: &[Condition],
+        changes: Vec<Change>,
+    ) -> Result<u64, TxnError> {
+        let lease_gone = changes.iter().any(|change| match change {
+            Change::Put { lease, .. } => lease.is_some_and(|id| !self.leases.contains_key(&id)),
+            Change::Delete { .. } => false,
+        });
+        if lease_gone {
+            return Err(TxnError::NoSuchLease);
+        }
+        let failed: Vec<String> = conditions
+            .iter()
+            .filter(|condition| self.revision_of(&condition.key) != condition.revision)
+            .map(|condition| condition.key.clone())
+            .collect();
+        if !failed.is_empty() {
+            return Err(TxnError::Conflict(failed));
+        }
+        if !changes.is_empty() {
+            self.revision += 1;
+        }
+        for change in changes {
+            self.apply(change);
+        }
+        Ok(self.revision)
+    }
+
+    fn revision_of(&self, key: &str) -> u64 {
+        self.keys.get(key).map_or(0, |stored| stored.revision)
+    }
+
+    fn apply(&mut self, change: Change) {
+        let (key, value) = match change {
+            Change::Put { key, value, lease } => {
+                self.detach(&key);
+                if let Some(lease) = lease.and_then(|id| self.leases.get_mut(&id)) {
+                    lease.keys.insert(key.clone());
+                }
+                let stored = Stored {
+                    value: value.clone(),
+                    revision: self.revision,
+                    lease,
+                };
+                self.keys.insert(key.clone(), stored);
+                (key, Some(value))
+            }
+            Change::Delete { key } => {
+                self.detach(&key);
+                if self.keys.remove(&key).is_none() {
+                    return;
+                }
+                (key, None)
+            }
+        };
+        self.log.push_back(Event {
+            key,
+            value,
+            revision: self.revision,
+        });
+        while self.log.len() > LOG_MOST {
+            if let Some(event) = self.log.pop_front() {
+                self.forgotten = event.revision;
+            }
+        }
+    }
+
+    fn detach(&mut self, key: &str) {
+        let lease = self.keys.get(key).and_then(|stored| stored.lease);
+        if let Some(lease) = lease.and_then(|id| self.leases.get_mut(&id)) {
+            lease.keys.remove(key);
+        }
+    }
+
+    pub fn grant(&mut self, now: Duration, ttl: Duration) -> u64 {
+        self.next_lease += 1;
+        let lease = Lease {
+            ttl,
+            ends: now + ttl,
+            keys: BTreeSet::new(),
+        };
+        self.leases.insert(self.next_lease, lease);
+        self.next_lease
+    }
+
+    /// False: there is no such lease any more.
+    pub fn renew(&mut self, now: Duration, id: u64) -> bool {
+        match self.leases.get_mut(&id) {
+            Some(lease) => {
+                lease.ends = now + lease.ttl;
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Every lease has its full time again, as after an outage.
+    pub fn renew_all(&mut self, now: Duration) {
+        for lease in self.leases.values_mut() {
+            lease.ends = now + lease.ttl;
+        }
+    }
+
+    /// Ends leases whose time is over. True: keys went with them.
+    pub fn expire(&mut self, now: Duration) -> bool {
+        let over: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|(_, lease)| lease.ends <= now)
+            .map(|(id, _)| *id)
+            .collect();
+        let before = self.revision;
+        for id in over {
+            self.end_lease(id);
+        }
+        self.revision > before
+    }
+
+    pub fn end_lease(&mut self, id: u64) {
+        let Some(lease) = self.leases.remove(&id) else {
+            return;
+        };
+        if !lease.keys.is_empty() {
+            self.revision += 1;
+        }
+        for key in lease.keys {
+            self.apply(Change::Delete { key });
+        }
+    }
+
+    /// Changes of keys with the prefix after that revision, or none where the log does not
+    /// reach back to it.
+    pub fn events(&self, prefix: &str, after: u64) -> Option<Vec<Event>> {
+        if after < self.forgotten {
+            return None;
+        }
+        let from = self.log.partition_point(|event| event.revision <= after);
+        let events = self
+            .log
+            .range(from..)
+            .filter(|event| event.key.starts_with(prefix));
+        Some(events.cloned().collect())
+    }
+}
+
+fn item(key: &str, stored: &Stored) -> Item {
+    Item {
+        key: key.to_owned(),
+        value: stored.value.clone(),
+        revision: stored.revision,
+        lease: stored.lease,
+    }
+}
