--- /dev/null
+++ b/review/1/case.py
@@ -0,0 +1,99 @@
+"""All controllers crash while the state service is down, and a machine hangs as they return."""
+
+import asyncio
+import os
+import sys
+
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(HERE, "..", "common"))
+sys.dont_write_bytecode = True
+
+from standins import World, job, now, pilbara, running_tasks  # noqa: E402
+
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+WARM, LONG = "run-000001", "run-000002"
+TASKS = 20
+OUTAGE_S = 10.0  # the site's days have outages of 10 to 25 s
+CRASH_AFTER_S = 3.5  # after the beginning of the outage
+HANG_S = 5.0  # the site's days have hangs of 25 to 30 s
+
+
+async def run(world):
+    await world.start(["perth-north", "perth-east", "karratha-edge"])
+    known = await world.wait_for(
+        lambda: len(world.workers) >= 9 and all(w.handle > 0 for w in world.workers.values()), 20,
+        "all workers know the leader",
+    )
+    if not known:
+        return 2
+    # The image gets to all machines, as it is after some hours of operation.
+    await world.submit(job(WARM, strings=24, run_s=2.0, airtime_s=2.0, frames=["wellhead-small"]))
+    small = [w for w in world.workers.values() if w.kind["frame"] == "wellhead-small"]
+    await world.wait_for(
+        lambda: all("img-01" in w.images and now() > w.images["img-01"] for w in small), 25,
+        "the image on all small machines",
+    )
+    await world.wait_for(lambda: not running_tasks(world, WARM), 20, "the first job's tasks end")
+    await world.submit(job(LONG, strings=TASKS, run_s=100.0, airtime_s=100.0, frames=["wellhead-small"]))
+    started = await world.wait_for(lambda: len(running_tasks(world, LONG)) == TASKS, 25, "all tasks run")
+    if not started:
+        return 2
+    # The first leader of all has been leading for longer than a term.
+    await asyncio.sleep(max(2.0, world.started + 22.0 - now()))
+    if TROUBLE:
+        hung, seen = [], []
+
+        def answered(worker, node, report, value):
+            if len(seen) < 30:
+                seen.append(worker)
+                world.record.write(
+                    worker.name,
+                    f"report {report['tick']} answered 200 by {node.name}, handle {value['handle']}, "
+                    f"{worker.lease_end() - now():.2f} s of the lease left",
+                )
+            has_tasks = any(t.job == LONG and t.state == "running" for t in worker.tasks.values())
+            if not hung and has_tasks:
+                hung.append(worker)
+                left = worker.lease_end() - now()
+                hang = min(HANG_S, left - 0.5)
+                worker.hung_until = now() + hang
+                world.record.write(
+                    worker.name,
+                    f"answered 200 by {node.name} (handle {value['handle']}), {left:.1f} s of its lease left; "
+                    f"hangs now for {hang:.1f} s",
+                )
+
+        world.state.begin_outage(OUTAGE_S)
+        await asyncio.sleep(CRASH_AFTER_S)
+        for node in world.nodes:
+            node.kill()
+        await asyncio.sleep(0.5)
+        for node in world.nodes:
+            node.start()
+        world.on_answered = answered
+        if not await world.wait_for(lambda: bool(hung), 20, "a worker is answered after the crash"):
+            return 2
+        await asyncio.sleep(14.0)
+    else:
+        await asyncio.sleep(25.0)
+    if not all(node.is_running() for node in world.nodes):
+        world.violate("ended", "a controller ended by itself")
+    return 1 if world.violations else 0
+
+
+async def main():
+    root = os.path.abspath(os.path.join(HERE, "..", ".."))
+    world = World(pilbara(), root, HERE)
+    try:
+        code = await asyncio.wait_for(run(world), 110)
+    except asyncio.TimeoutError:
+        world.record.write("run", "timed out")
+        code = 2
+    finally:
+        world.record.write("run", f"rules broken: {[rule for rule, _ in world.violations]}")
+        world.stop()
+    print(f"exit {code}: {world.violations}", flush=True)
+    os._exit(code)
+
+
+asyncio.run(main())
