--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,7 +8,7 @@
 sys.path.insert(0, os.path.join(HERE, "..", "common"))
 sys.dont_write_bytecode = True
 
-from standins import World, job, now, pilbara, running_tasks  # noqa: E402
+from standins import job, now, pilbara, run_case, running_tasks  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 WARM, LONG = "run-000001", "run-000002"
@@ -62,19 +62,4 @@
     return 1 if world.violations else 0
 
 
-async def main():
-    root = os.path.abspath(os.path.join(HERE, "..", ".."))
-    world = World(pilbara(), root, HERE)
-    try:
-        code = await asyncio.wait_for(run(world), 110)
-    except asyncio.TimeoutError:
-        world.record.write("run", "timed out")
-        code = 2
-    finally:
-        world.record.write("run", f"rules broken: {[rule for rule, _ in world.violations]}")
-        world.stop()
-    print(f"exit {code}: {world.violations}", flush=True)
-    os._exit(code)
-
-
-asyncio.run(main())
+run_case(run, pilbara(), HERE)
