--- a/src/core/cluster/leases.rs
+++ b/src/core/cluster/leases.rs
@@ -69,8 +69,8 @@
             return;
         }
         for id in empty {
-            info!(machine = %id, "unresponsive machine proven empty");
             let machine = self.machines.get_mut(&id).expect("known machine");
+            info!(machine = %id, last_answer = ?machine.answered_at, "unresponsive machine proven empty");
             machine.unresolved = false;
             if machine.state == MachineState::Booting {
                 machine.state = MachineState::Lost;
--- a/src/core/cluster/reports.rs
+++ b/src/core/cluster/reports.rs
@@ -241,6 +241,15 @@
             job.placed += 1;
         }
         let machine = self.machines.get_mut(id).expect("known machine");
+        debug!(
+            task = %key.0,
+            attempt = key.1,
+            machine = %id,
+            ?phase,
+            ?decision,
+            fenced = machine.fenced,
+            "a worker reported a task that this leader did not start"
+        );
         let stop = (!is_adopted).then_some(Stop::new(Duration::ZERO, now));
         machine.tasks.insert(
             key.clone(),
--- a/src/core/commands.rs
+++ b/src/core/commands.rs
@@ -38,7 +38,17 @@
             attempt: t.attempt,
             grace: Duration::ZERO,
         });
-        (report.token >> 16 <= token >> 16).then(|| Answer::Commands {
+        let is_superseded = report.token >> 16 > token >> 16;
+        if is_superseded {
+            return None;
+        }
+        debug!(
+            machine = %report.machine,
+            seq = report.seq,
+            seen_token = report.token,
+            "renewing a worker's lease during the failover"
+        );
+        Some(Answer::Commands {
             token,
             commands: commands.collect(),
         })
