Failover: a lease renewed before the failover's reads end counts from that answer

A worker may act until one lease after it sent the last report that any leader answered with 200. A leader answers reports from the verification of its claim on, so that no worker loses its lease while the failover reads; these answers were recorded nowhere. A machine that was not heard again counted as empty one lease after the previous leader had stopped: for the next process of the same node that is the start of the process, which can lie a whole outage before the answer. After a hand-over it is the claim, and reads that are repeated suffice.

Why this fix works. crates/recovery::worker_leases owns the end of each lease. Every answer with 200 is recorded there by worker, those of the failover by its loader, which hands the record over to the cluster state. Machines that were not answered are waited for no longer than before.

--- a/src/core/cluster/leases.rs
+++ b/src/core/cluster/leases.rs
@@ -36,7 +36,7 @@
             .machines
             .values()
             .filter(|m| has_current_session(m))
-            .filter(|m| self.lease_end(m).is_some_and(|at| claim_verified_at > at))
+            .filter(|m| claim_verified_at > self.lease_end(m))
             .map(|m| m.id.clone())
             .collect();
         for id in &lost {
@@ -63,14 +63,15 @@
     fn resolve_empty_machines(&mut self) {
         let claim_verified_at = self.claim_verified_at;
         let unresolved = self.machines.values().filter(|m| m.unresolved);
-        let empty = unresolved.filter(|m| claim_verified_at > self.presumed_empty_at(m));
+        let empty = unresolved.filter(|m| claim_verified_at > self.lease_end(m));
         let empty: Vec<MachineId> = empty.map(|m| m.id.clone()).collect();
         if empty.is_empty() {
             return;
         }
         for id in empty {
             let machine = self.machines.get_mut(&id).expect("known machine");
-            info!(machine = %id, last_answer = ?machine.answered_at, "unresponsive machine proven empty");
+            let last_renewal = self.worker_leases.renewed_at(&id);
+            info!(machine = %id, ?last_renewal, "unresponsive machine proven empty");
             machine.unresolved = false;
             if machine.state == MachineState::Booting {
                 machine.state = MachineState::Lost;
@@ -79,34 +80,18 @@
         self.requeue();
     }
 
-    /// Returns the time by which a silent machine with unknown tasks is empty: if this leader
-    /// answered it, one lease after that answer.
-    fn presumed_empty_at(&self, machine: &Machine) -> Duration {
-        let zone_end = self.zone_lease_ends.get(&machine.zone).copied();
-        let previous_end = zone_end.map_or(self.previous_leases_end, |end| {
-            end.min(self.previous_leases_end)
-        });
-        self.lease_end(machine).unwrap_or(previous_end)
-    }
-
-    /// Returns the time at which the lease of a silent worker expires. A worker that has not seen
-    /// this leader's token may have been answered by a previous leader until that one stopped: an
-    /// answer to a delayed report proves nothing.
-    fn lease_end(&self, machine: &Machine) -> Option<Duration> {
-        let expiry = machine.answered_at? + self.config.worker_lease_bound;
-        Some(match machine.fenced {
-            true => expiry,
-            false => expiry.max(self.previous_leases_end),
-        })
+    /// Returns the time at which the lease of a silent worker has expired.
+    fn lease_end(&self, machine: &Machine) -> Duration {
+        self.worker_leases
+            .lease_end(&machine.id, &machine.zone, machine.fenced)
     }
 
     /// Returns whether a lease would end if the claim were known to be still valid.
     pub fn needs_claim_verification(&self, now: Duration) -> bool {
         let has_passed = |end: Duration| now > end && self.claim_verified_at <= end;
-        self.machines.values().any(|m| {
-            let lost = has_current_session(m) && self.lease_end(m).is_some_and(has_passed);
-            lost || (m.unresolved && has_passed(self.presumed_empty_at(m)))
-        })
+        self.machines
+            .values()
+            .any(|m| (has_current_session(m) || m.unresolved) && has_passed(self.lease_end(m)))
     }
 }
 
--- a/src/core/cluster/mod.rs
+++ b/src/core/cluster/mod.rs
@@ -43,6 +43,7 @@
     drain::{Drains, WaitReason},
     ledger::Ledger,
 };
+use kiteyard_recovery::worker_leases::WorkerLeases;
 
 /// State of one leader, built at its failover and dropped with its claim.
 pub struct ClusterState {
@@ -61,8 +62,8 @@
     pub queue: Queue,
     /// Machines being rented and released.
     pub(super) provisioning: Provisioning,
-    /// Time until which an unresponsive machine may hold tasks that a previous leader started.
-    pub(super) previous_leases_end: Duration,
+    /// Times by which the leases of the workers have expired.
+    pub(super) worker_leases: WorkerLeases,
     /// Latest time at which the claim is known to have been valid.
     pub claim_verified_at: Duration,
     /// Last attempt number given to a start, see `next_attempt`.
@@ -100,9 +101,6 @@
     pub(super) reconciler: Reconciler,
     /// Zones whose machines must not be sent starts.
     pub(super) start_blocked_zones: BTreeSet<Arc<str>>,
-    /// Earlier ends of previous leaders' leases, for zones whose workers have not been answered for
-    /// a while.
-    zone_lease_ends: BTreeMap<Arc<str>, Duration>,
     pub(super) zones_to_probe: BTreeSet<Arc<str>>,
     /// Released machines that the node has yet to forget.
     pub(super) released_machines: Vec<MachineId>,
@@ -126,10 +124,8 @@
     pub progress: BTreeMap<JobId, Results>,
     /// Shards of the assignment index, each with its number and revision.
     pub assignment_index: Vec<(u32, ShardRecord, u64)>,
-    /// Time by which every lease renewed by a previous leader has expired.
-    pub previous_leases_end: Duration,
-    /// Earlier such times by zone, for zones whose workers have not been answered for a while.
-    pub zone_lease_ends: BTreeMap<Arc<str>, Duration>,
+    /// Leases of the workers, including those renewed during the failover.
+    pub worker_leases: WorkerLeases,
 }
 
 /// Commands to be sent directly to one worker.
@@ -174,17 +170,9 @@
             jobs,
             progress,
             assignment_index,
-            previous_leases_end,
-            zone_lease_ends,
+            worker_leases,
         } = stored;
-        let mut cluster = Self::empty(
-            config,
-            claim,
-            types,
-            previous_leases_end,
-            zone_lease_ends,
-            now,
-        );
+        let mut cluster = Self::empty(config, claim, types, worker_leases, now);
         cluster.licence_ledger = cluster.new_licence_ledger(now);
         for (shard, record, version) in assignment_index {
             cluster.load_shard(shard, &record, version, now);
@@ -204,8 +192,7 @@
         config: Arc<Config>,
         claim: u64,
         types: Arc<Vec<MachineType>>,
-        previous_leases_end: Duration,
-        zone_lease_ends: BTreeMap<Arc<str>, Duration>,
+        worker_leases: WorkerLeases,
         now: Duration,
     ) -> Self {
         Self {
@@ -215,8 +202,7 @@
             machines: BTreeMap::new(),
             queue: Queue::default(),
             provisioning: Provisioning::new(format!("{}-{claim}", config.node)),
-            previous_leases_end,
-            zone_lease_ends,
+            worker_leases,
             start_blocked_zones: BTreeSet::new(),
             disruption_ledger: Ledger::new(config.budgets()),
             drains: Drains::default(),
@@ -350,6 +336,7 @@
     pub fn remove_machine(&mut self, id: &MachineId, now: Duration) {
         self.end_session(id, now);
         if let Some(machine) = self.machines.remove(id) {
+            self.worker_leases.remove(id);
             self.released_machines.push(id.clone());
             self.assignment_index.remove_machine(&machine);
         }
--- a/src/core/cluster/reports.rs
+++ b/src/core/cluster/reports.rs
@@ -54,11 +54,18 @@
         if self.availability(&id, now) != before {
             self.requeue();
         }
-        self.answer_report(&id, report.seq)
+        self.answer_report(&id, report.seq, now)
     }
 
-    /// Returns the token and the commands that answer a machine's report.
-    fn answer_report(&mut self, id: &MachineId, seq: u64) -> Option<(u64, Vec<Command>)> {
+    /// Returns the token and the commands that answer a machine's report, and records that the
+    /// answer renews its lease.
+    fn answer_report(
+        &mut self,
+        id: &MachineId,
+        seq: u64,
+        now: Duration,
+    ) -> Option<(u64, Vec<Command>)> {
+        self.worker_leases.record_renewal(id, now);
         // While a direct command is in flight no other commands are sent, since the two could be
         // executed in the wrong order.
         let commands = match self.machines.get(id)?.direct_in_flight {
@@ -315,7 +322,6 @@
         self.addr = Some(report.addr);
         self.heard_at = Some(now);
         self.commands_unanswered = false;
-        self.answered_at = Some(now);
         if matches!(self.state, MachineState::Booting | MachineState::Lost) {
             info!(
                 machine = %self.id,
--- a/src/core/commands.rs
+++ b/src/core/commands.rs
@@ -3,7 +3,6 @@
 use std::{cmp::Reverse, collections::BTreeSet, time::Duration};
 
 use super::{
-    Answer, Node,
     cluster::{ClusterState, DirectCommands},
     job::Kind,
     machine::{
@@ -19,41 +18,7 @@
 const MAX_PROBES_PER_ZONE: usize = 4;
 
 /// Maximum number of commands in one answer, which keeps it below the protocol's line limit.
-const MAX_COMMANDS_PER_ANSWER: usize = 400;
-
-impl Node {
-    /// Renews a worker's lease during a failover and stops its tasks of finished jobs: a lease
-    /// renewed without that would carry cancelled tasks through successive failovers. Other
-    /// commands come later, and the report does not count as heard.
-    pub(super) fn keep_lease_alive(&self, report: &WorkerReport) -> Option<Answer> {
-        let token = self.election.token()?;
-        let is_finished =
-            |job| !self.cache.jobs.contains_key(job) && !self.cache.is_unreadable(job);
-        let active_tasks = report.tasks.iter().filter(|t| !t.phase.exited());
-        let commands = active_tasks
-            .filter(|t| is_finished(&t.task.job))
-            .take(MAX_COMMANDS_PER_ANSWER);
-        let commands = commands.map(|t| Command::Stop {
-            task: t.task.clone(),
-            attempt: t.attempt,
-            grace: Duration::ZERO,
-        });
-        let is_superseded = report.token >> 16 > token >> 16;
-        if is_superseded {
-            return None;
-        }
-        debug!(
-            machine = %report.machine,
-            seq = report.seq,
-            seen_token = report.token,
-            "renewing a worker's lease during the failover"
-        );
-        Some(Answer::Commands {
-            token,
-            commands: commands.collect(),
-        })
-    }
-}
+pub(super) const MAX_COMMANDS_PER_ANSWER: usize = 400;
 
 impl ClusterState {
     /// Returns commands that can't wait for the next report. A worker that does not know this
@@ -119,7 +84,7 @@
         debug!(machine = %id, "machine answered direct commands for the first time");
         machine.addr = Some(report.addr);
         machine.session = report.session;
-        machine.answered_at = Some(now);
+        self.worker_leases.record_renewal(id, now);
         if machine.state == MachineState::Booting {
             machine.state = MachineState::Up;
         }
@@ -207,6 +172,7 @@
         if report.token >= self.token && !machine.fenced {
             machine.fenced = true;
             machine.unresolved = false;
+            self.worker_leases.record_token_seen(&direct.machine, now);
             self.request_pass();
         }
         let id = direct.machine.clone();
--- a/src/core/election/failover.rs
+++ b/src/core/election/failover.rs
@@ -1,16 +1,22 @@
 //! Failover: loads job progress and the assignment index before a new leader acts.
 //!
-//! Owns the loader and builds the cluster state of the new term from it. A node never leads
+//! Owns the loader and builds the cluster state of the new term from it. Meanwhile reports are
+//! answered, so that no worker loses its lease; the loader records each of these renewals. A node never leads
 //! on partially loaded state: an unreadable entry aborts the failover, and the cluster state is
 //! built only within the term and after everything has been read.
 
 use std::{collections::BTreeMap, time::Duration};
 
+use kiteyard_recovery::worker_leases::WorkerLeases;
+use tracing::debug;
+
 use super::super::{
-    Node, Purpose, RETRY_DELAY, STATE_TIMEOUT,
+    Answer, Node, Purpose, RETRY_DELAY, STATE_TIMEOUT,
     assignment_index::ShardRecord,
     cluster::{ClusterState, StoredClusterState},
+    commands::MAX_COMMANDS_PER_ANSWER,
     job::JobId,
+    machine::{Command, WorkerReport},
     results::{ChunkPart, Results},
     store::{ASSIGNMENTS_PREFIX, Entry, PROGRESS_PREFIX, StateReply, StateRequest},
 };
@@ -23,6 +29,8 @@
     index: Option<Vec<(u32, ShardRecord, u64)>>,
     partial_progress: BTreeMap<JobId, Results>,
     partial_index: Vec<(u32, ShardRecord, u64)>,
+    /// Leases of the workers, including those that this node renews during the failover.
+    worker_leases: WorkerLeases,
     retry_at: Duration,
     reads_in_flight: u32,
     /// Whether the first attempt failed.
@@ -36,6 +44,13 @@
 const FIRST_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(500);
 
 impl FailoverLoader {
+    pub(super) fn new(worker_leases: WorkerLeases) -> Self {
+        Self {
+            worker_leases,
+            ..Self::default()
+        }
+    }
+
     /// Returns whether the reads should be started, for the first time or again.
     fn is_due(&self, now: Duration) -> bool {
         !self.started && self.reads_in_flight == 0 && now >= self.retry_at
@@ -160,12 +175,13 @@
         let Some(loader) = self.election.loader.take() else {
             return;
         };
+        let mut worker_leases = loader.worker_leases;
+        worker_leases.set_zone_lease_ends(self.zone_lease_ends());
         let stored = StoredClusterState {
             jobs: &self.cache.jobs,
             progress: loader.progress.unwrap_or_default(),
             assignment_index: loader.index.unwrap_or_default(),
-            previous_leases_end: self.election.previous_stopped_at + self.config.worker_lease_bound,
-            zone_lease_ends: self.zone_lease_ends(),
+            worker_leases,
         };
         let mut cluster = ClusterState::new(self.config.clone(), claim, types, stored, now);
         cluster.apply_handover(std::mem::take(&mut self.handover), now);
@@ -221,4 +237,43 @@
         }
         loader.finish_read(read);
     }
+
+    /// Answers a report during the failover: renews the worker's lease and stops its tasks of
+    /// finished jobs, since a lease renewed without that would carry cancelled tasks through
+    /// successive failovers. Other commands come later, and the report does not count as heard.
+    pub(in crate::core) fn answer_during_failover(
+        &mut self,
+        report: &WorkerReport,
+    ) -> Option<Answer> {
+        let token = self.election.token()?;
+        let is_superseded = report.token >> 16 > token >> 16;
+        if is_superseded {
+            return None;
+        }
+        let now = self.now();
+        let loader = self.election.loader.as_mut()?;
+        loader.worker_leases.record_renewal(&report.machine, now);
+        debug!(
+            machine = %report.machine,
+            seq = report.seq,
+            seen_token = report.token,
+            "renewing a worker's lease during the failover"
+        );
+        let commands = self.stops_of_finished_jobs(report);
+        Some(Answer::Commands { token, commands })
+    }
+
+    /// Returns commands that stop the reported tasks of jobs that have ended.
+    fn stops_of_finished_jobs(&self, report: &WorkerReport) -> Vec<Command> {
+        let is_finished =
+            |job| !self.cache.jobs.contains_key(job) && !self.cache.is_unreadable(job);
+        let active_tasks = report.tasks.iter().filter(|t| !t.phase.exited());
+        let finished = active_tasks.filter(|t| is_finished(&t.task.job));
+        let stops = finished.map(|t| Command::Stop {
+            task: t.task.clone(),
+            attempt: t.attempt,
+            grace: Duration::ZERO,
+        });
+        stops.take(MAX_COMMANDS_PER_ANSWER).collect()
+    }
 }
--- a/src/core/election/mod.rs
+++ b/src/core/election/mod.rs
@@ -14,6 +14,7 @@
 
 use std::time::Duration;
 
+use kiteyard_recovery::worker_leases::WorkerLeases;
 use tracing::info;
 
 use super::{
@@ -370,7 +371,10 @@
             PreviousLeader::Superseded => now + self.config.leader_ttl,
         };
         self.election.has_requested_claim = true;
-        self.election.loader = Some(FailoverLoader::default());
+        self.election.loader = Some(FailoverLoader::new(WorkerLeases::new(
+            self.config.worker_lease_bound,
+            self.election.previous_stopped_at,
+        )));
         self.election.key_removal = None;
         self.membership.begin_leading(now);
         self.verify_claim();
--- a/src/core/machine.rs
+++ b/src/core/machine.rs
@@ -239,7 +239,6 @@
     pub assignment: AssignmentEntry,
     /// Whether the machine may hold tasks that a previous leader started.
     pub unresolved: bool,
-    pub answered_at: Option<Duration>,
     pub heard_at: Option<Duration>,
     /// Whether a command sent since it was last heard got no answer.
     pub commands_unanswered: bool,
@@ -324,7 +323,6 @@
             fenced: false,
             assignment: AssignmentEntry::default(),
             unresolved: false,
-            answered_at: None,
             heard_at: None,
             commands_unanswered: false,
             first_seen: now,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -497,7 +497,7 @@
             return None;
         }
         let Some(cluster) = &mut self.cluster else {
-            return self.keep_lease_alive(report);
+            return self.answer_during_failover(report);
         };
         if report.token >> 16 > cluster.claim {
             // The worker has received commands under a later claim.
--- a/tests/scheduling/cluster.rs
+++ b/tests/scheduling/cluster.rs
@@ -17,6 +17,7 @@
     },
     settings::Settings,
 };
+use kiteyard_recovery::worker_leases::WorkerLeases;
 
 const SETTINGS: &str = r#"{
   "label": "n0", "api_addr": "127.0.0.1:1", "cluster_listen": "127.0.0.1:2",
@@ -78,8 +79,10 @@
             jobs: &BTreeMap::new(),
             progress: BTreeMap::new(),
             assignment_index,
-            previous_leases_end,
-            zone_lease_ends: BTreeMap::new(),
+            worker_leases: WorkerLeases::new(
+                config.worker_lease_bound,
+                previous_leases_end.saturating_sub(config.worker_lease_bound),
+            ),
         };
         let now = Duration::from_secs(100);
         Self {
--- a/tests/world/faults.rs
+++ b/tests/world/faults.rs
@@ -32,6 +32,10 @@
     MachinesHang,
     /// The leader's process crashes.
     LeaderCrash,
+    /// The leader's process ends and is not restarted.
+    LeaderStops,
+    /// A third of the machines reach no controller, and no direct command reaches them.
+    MachinesSilent,
     /// All nodes crash at once.
     AllCrash,
     /// All nodes crash, and again during startup: each before or soon after its first answer.
@@ -167,6 +171,8 @@
                     .filter(|_| self.rollout.spare_successor);
                 self.crash(node.unwrap_or(leader));
             }
+            Fault::LeaderStops => self.push(self.now, Event::Stop(leader)),
+            Fault::MachinesSilent => self.silence_machines(until),
             Fault::AllCrash => (0..NODES).for_each(|node| self.crash(node)),
             Fault::RepeatedCrashes => {
                 for again in [0, 60, 350, 700, 1200] {
--- a/tests/world/sim/defects.rs
+++ b/tests/world/sim/defects.rs
@@ -43,6 +43,8 @@
     IdleMachinesSilent,
     /// An old report carries the new leader's token.
     OldReportsCarryNewToken,
+    /// A leader does not record which reports it answered before its failover's reads ended.
+    FailoverAnswersUnrecorded,
     /// A worker executes commands under any token.
     AcceptsOldTokens,
     /// A machine that hung does not execute stop commands.
--- a/tests/world/sim/mod.rs
+++ b/tests/world/sim/mod.rs
@@ -32,10 +32,10 @@
 
 use crate::{
     blocked_reports::BlockedReports, combined_faults::CombinedFaults,
-    controller_downtime::ControllerDowntime, faults::Fault, late_commands::LateCommands,
-    liveness::Liveness, network_faults::NetworkFaults, new_machines::NewMachines,
-    observer::Observer, old_reports::OldReports, rollout::RolloutState, scarcity::Scarcity,
-    state::StateStore,
+    controller_downtime::ControllerDowntime, failover_answers::FailoverAnswers, faults::Fault,
+    late_commands::LateCommands, liveness::Liveness, network_faults::NetworkFaults,
+    new_machines::NewMachines, observer::Observer, old_reports::OldReports, rollout::RolloutState,
+    scarcity::Scarcity, state::StateStore,
 };
 
 pub use defects::Defect;
@@ -162,6 +162,7 @@
     pub liveness: Liveness,
     pub blocked_reports: BlockedReports,
     pub old_reports: OldReports,
+    pub failover_answers: FailoverAnswers,
     pub late_commands: LateCommands,
     pub new_machines: NewMachines,
     pub controller_downtime: ControllerDowntime,
@@ -215,6 +216,7 @@
             liveness: Liveness::default(),
             blocked_reports: BlockedReports::default(),
             old_reports: OldReports::default(),
+            failover_answers: FailoverAnswers::default(),
             late_commands: LateCommands::default(),
             new_machines: NewMachines::default(),
             controller_downtime: ControllerDowntime::default(),
@@ -329,6 +331,7 @@
         };
         let outputs = core.step(clock, input);
         self.check_starts(node, &outputs);
+        self.count_failover_answers(node, &outputs);
         if let Some(freeze) = self.pending_freezes[node].take_if(|_| !outputs.is_empty()) {
             // The node freezes after it has decided, and resumes as if nothing had happened.
             let until = self.now + freeze;
@@ -360,6 +363,8 @@
                 let late = self.rng.random_range(0..300) == 0;
                 let at = if let Some(extra) = self.acceptance_delay(&request) {
                     now + extra
+                } else if let Some(extra) = self.failover_read_delay(&request) {
+                    now + extra
                 } else if late {
                     now + delay + ms(4000)
                 } else {
@@ -393,6 +398,7 @@
                 let failed = Event::NodeInput(node, epoch, Input::Direct { call, reply });
                 let name = direct.machine.to_string();
                 let zone = self.workers.get(&name).map(|w| w.zone);
+                let zone = zone.filter(|_| !self.is_silenced(&name));
                 match zone.and_then(|zone| self.worker_path(node, zone)) {
                     Some(at) => {
                         let late = self.late_command_delay();
@@ -459,7 +465,7 @@
                 self.check_waiting_jobs();
             }
             Event::NodeInput(node, epoch, input) => {
-                if self.epochs[node] == epoch {
+                if self.epochs[node] == epoch && !self.answer_for_claimant(node, &input) {
                     self.step(node, input);
                 }
             }
--- a/tests/world/sim/requests.rs
+++ b/tests/world/sim/requests.rs
@@ -143,6 +143,7 @@
             |change: &Change| matches!(change, Change::Put { key, .. } if key == LEADER_KEY);
         if changes.iter().any(claims) {
             self.requests.claims.insert(*revision, node);
+            self.claim_committed(node, *revision);
             self.count_claim_while_waiting();
         }
     }
