Attempts: a task is not started while another attempt of it may be alive

A report that does not show this leader's token proves that its attempts were started once, and neither that they are alive nor that no later attempt is. The leader adopted the old attempt as the task's only one and listed the later, real one as an orphan to be stopped. When the machine of the old report turned out to be empty, the slot was free, and nobody asked whether the orphan had gone.

Why this fix works. cluster/attempts owns which attempt holds a slot. An attempt with a higher number was started once all lower ones were gone, so it holds the slot whichever report comes first, and what really runs is no longer stopped. A slot is released only when no displaced attempt is left; until then the next one holds it, as a task does that is being stopped. The variant that does not tell the leader of the second attempt is caught.

An attempt that finishes no longer subtracts its machine's orphans from the running count, which does not include them.

--- a/crates/recovery/src/adoption.rs
+++ b/crates/recovery/src/adoption.rs
@@ -7,8 +7,10 @@
     Unknown,
     /// It is waiting to be started.
     Waiting,
-    /// Another attempt of it is placed on a machine.
-    PlacedElsewhere,
+    /// An attempt with a lower number is placed on a machine.
+    OlderAttemptPlaced,
+    /// An attempt with a higher number is placed on a machine.
+    NewerAttemptPlaced,
     /// Its result is known.
     Done,
 }
@@ -29,6 +31,8 @@
 pub enum AdoptionDecision {
     /// Adopt it as the current attempt of the task.
     Adopt,
+    /// Adopt it in place of the older attempt, which must be gone, and stop that one.
+    Replace,
     /// Stop it: it must not run there.
     Stop,
     /// Store its result, whichever attempt produced it; the worker forgets it once stored.
@@ -37,12 +41,14 @@
     Forget,
 }
 
-/// Decides on a reported task. An attempt is adopted only for a waiting task, so that no task has
-/// two attempts. Other live attempts are stopped: orphans, and duplicates of a placed task. The
-/// result of an active task always counts.
+/// Decides on a reported task. At most one attempt of a task is adopted at a time: the one with the
+/// highest number, since it was started once all earlier ones were gone. All other live attempts
+/// are stopped: orphans, and older attempts of a placed task. The result of an active task always
+/// counts.
 pub fn decide_adoption(known_state: KnownState, reported: Reported) -> AdoptionDecision {
     match (reported, known_state) {
         (Reported::Alive, KnownState::Waiting) => AdoptionDecision::Adopt,
+        (Reported::Alive, KnownState::OlderAttemptPlaced) => AdoptionDecision::Replace,
         (Reported::Alive, _) => AdoptionDecision::Stop,
         (Reported::Completed, KnownState::Unknown | KnownState::Done) => AdoptionDecision::Forget,
         (Reported::Completed, _) => AdoptionDecision::Finish,
@@ -58,7 +64,13 @@
     #[test]
     fn every_case_follows_the_rules() {
         use {KnownState::*, Reported::*};
-        for known_state in [Unknown, Waiting, PlacedElsewhere, Done] {
+        for known_state in [
+            Unknown,
+            Waiting,
+            OlderAttemptPlaced,
+            NewerAttemptPlaced,
+            Done,
+        ] {
             for reported in [Alive, Completed, Ended] {
                 let decision = decide_adoption(known_state, reported);
                 let case = format!("{known_state:?} {reported:?} {decision:?}");
@@ -67,13 +79,23 @@
                     decision == AdoptionDecision::Adopt,
                     (known_state, reported) == (Waiting, Alive)
                 );
+                // An attempt takes the slot of an older one alone.
+                assert_eq!(
+                    decision == AdoptionDecision::Replace,
+                    (known_state, reported) == (OlderAttemptPlaced, Alive)
+                );
                 // A live attempt is either adopted or stopped.
-                let is_adopted_or_stopped =
-                    matches!(decision, AdoptionDecision::Adopt | AdoptionDecision::Stop);
+                let is_adopted_or_stopped = matches!(
+                    decision,
+                    AdoptionDecision::Adopt | AdoptionDecision::Replace | AdoptionDecision::Stop
+                );
                 assert_eq!(is_adopted_or_stopped, reported == Alive, "{case}");
                 // No result of an active task is lost.
-                let must_finish =
-                    matches!(known_state, Waiting | PlacedElsewhere) && reported == Completed;
+                let is_active = matches!(
+                    known_state,
+                    Waiting | OlderAttemptPlaced | NewerAttemptPlaced
+                );
+                let must_finish = is_active && reported == Completed;
                 assert_eq!(decision == AdoptionDecision::Finish, must_finish, "{case}");
             }
         }
--- a/src/core/cluster/mod.rs
+++ b/src/core/cluster/mod.rs
@@ -1,14 +1,15 @@
 //! The leader's cluster state: its jobs and machines, and the location of each task.
 //!
 //! This module defines the state, builds it at a failover, and adds and removes jobs and machines.
-//! `reports` processes worker reports, `placement` changes task placements, and `leases` handles
-//! expired leases.
+//! `reports` processes worker reports, `attempts` decides which reported attempt holds a task's
+//! slot, `placement` changes task placements, and `leases` handles expired leases.
 //!
 //! A task whose start was sent counts as gone from its machine only after one of these events: a
 //! newer report that the start can't have overtaken, a new session of the worker, the end of the
 //! worker's lease, confirmed by a verification of the claim, or the release of the machine. Until
 //! then the task may still run there and must not be started elsewhere.
 
+mod attempts;
 mod leases;
 mod placement;
 mod reports;
@@ -39,6 +40,7 @@
     state_cache::LiveJob,
     store::progress_key,
 };
+use attempts::DisplacedAttempts;
 use kiteyard_maintenance::{
     drain::{Drains, WaitReason},
     ledger::Ledger,
@@ -58,6 +60,8 @@
     pub jobs: BTreeMap<JobId, Job>,
     /// Rented machines with their known and possible tasks.
     pub machines: BTreeMap<MachineId, Machine>,
+    /// Attempts of placed tasks that do not hold their task's slot.
+    displaced_attempts: DisplacedAttempts,
     /// Jobs with waiting tasks, in scheduling order.
     pub queue: Queue,
     /// Machines being rented and released.
@@ -200,6 +204,7 @@
             token: claim << 16,
             jobs: BTreeMap::new(),
             machines: BTreeMap::new(),
+            displaced_attempts: DisplacedAttempts::default(),
             queue: Queue::default(),
             provisioning: Provisioning::new(format!("{}-{claim}", config.node)),
             worker_leases,
@@ -312,6 +317,7 @@
         };
         self.discard_results(id, &job.saved);
         self.queue.remove(id);
+        self.displaced_attempts.remove_job(id);
         for machine in self.machines.values_mut() {
             machine.tasks.retain(|(task, _), placement| {
                 if task.job != *id {
--- a/src/core/cluster/placement.rs
+++ b/src/core/cluster/placement.rs
@@ -15,23 +15,6 @@
 };
 
 impl ClusterState {
-    /// Returns a task to the waiting ones, provided that it is placed on this machine.
-    pub(super) fn release_slot(&mut self, id: &MachineId, task: &TaskId, placement: &Placement) {
-        let Some(job) = self.jobs.get_mut(&task.job) else {
-            return;
-        };
-        let slot = &mut job.slots[task.index as usize];
-        if matches!(slot, Slot::Placed(machine) if machine == id) {
-            *slot = Slot::Waiting;
-            job.placed -= 1;
-            job.waiting.push(task.index);
-            if placement.phase == Phase::Seen(TaskPhase::Running) {
-                job.running -= 1;
-            }
-            self.queue.push(&task.job, job);
-        }
-    }
-
     /// Marks a task done; for a gang, all of its tasks.
     pub(super) fn finish_task(&mut self, task: &TaskId, now: Duration) {
         let Some(job) = self.jobs.get_mut(&task.job) else {
@@ -151,7 +134,8 @@
 fn stop_finished(machine: &mut Machine, id: &JobId, index: u32, now: Duration) -> u32 {
     let mut running = 0;
     for ((task, _), placement) in &mut machine.tasks {
-        if task.job != *id || task.index != index || placement.exited() {
+        // Orphans already have a stop, and are not counted as running.
+        if task.job != *id || task.index != index || placement.exited() || placement.is_orphaned {
             continue;
         }
         if placement.phase == Phase::Seen(TaskPhase::Running) {
--- a/src/core/cluster/reports.rs
+++ b/src/core/cluster/reports.rs
@@ -9,15 +9,14 @@
 
 use tracing::{debug, info};
 
-use super::{ClusterState, Slot};
+use super::ClusterState;
 use crate::core::{
     job::TaskId,
     machine::{
-        AttemptKey, Command, ExitReason, Machine, MachineId, MachineState, Phase, Placement, Stop,
+        AttemptKey, Command, ExitReason, Machine, MachineId, MachineState, Phase, Placement,
         TaskPhase, WorkerReport,
     },
 };
-use kiteyard_recovery::adoption::AdoptionDecision;
 
 impl ClusterState {
     /// Processes a report and returns the token and commands of its answer, or none if it is late.
@@ -158,7 +157,7 @@
     ) {
         let is_adopted = !self.machines[id].tasks.contains_key(&key);
         if is_adopted {
-            self.adopt_task(id, &key, phase, now);
+            self.adopt_attempt(id, &key, phase, now);
         }
         let machine = self.machines.get_mut(id).expect("known machine");
         let placement = machine.tasks.get_mut(&key).expect("adopted task");
@@ -236,49 +235,6 @@
         self.placement_ended(id, task, &placement, Some(reason), now);
     }
 
-    /// Adopts a reported task that this leader did not start: one that a previous leader started,
-    /// or an orphaned one that is to be stopped.
-    fn adopt_task(&mut self, id: &MachineId, key: &AttemptKey, phase: TaskPhase, now: Duration) {
-        let decision = self.decide_adoption(&key.0, phase);
-        let is_adopted = decision == AdoptionDecision::Adopt;
-        let job = self.jobs.get_mut(&key.0.job);
-        let spec = job.as_ref().map(|job| job.spec.clone());
-        if let (Some(job), true) = (job, is_adopted) {
-            job.slots[key.0.index as usize] = Slot::Placed(id.clone());
-            job.placed += 1;
-        }
-        let machine = self.machines.get_mut(id).expect("known machine");
-        debug!(
-            task = %key.0,
-            attempt = key.1,
-            machine = %id,
-            ?phase,
-            ?decision,
-            fenced = machine.fenced,
-            "a worker reported a task that this leader did not start"
-        );
-        let stop = (!is_adopted).then_some(Stop::new(Duration::ZERO, now));
-        machine.tasks.insert(
-            key.clone(),
-            Placement {
-                phase: Phase::Sent {
-                    seq: 0,
-                    direct_token: None,
-                },
-                need: spec.as_ref().map_or(machine.size, |spec| spec.need),
-                spec,
-                since: now,
-                running_since: None,
-                stop,
-                is_orphaned: !is_adopted,
-                start_sent_seq: 0,
-            },
-        );
-        if decision == AdoptionDecision::Finish {
-            self.finish_task(&key.0, now);
-        }
-    }
-
     /// Processes the end of a placement; `reason` is none if the task just disappeared.
     fn placement_ended(
         &mut self,
--- a/src/core/commands.rs
+++ b/src/core/commands.rs
@@ -6,8 +6,8 @@
     cluster::{ClusterState, DirectCommands},
     job::Kind,
     machine::{
-        Command, DirectReply, ExitReason, MachineId, MachineState, Phase, Stop, TaskPhase,
-        WorkerReport,
+        Command, DirectReply, ExitReason, MAX_COMMANDS_PER_ANSWER, MachineId, MachineState, Phase,
+        Stop, TaskPhase, WorkerReport,
     },
 };
 use tracing::debug;
@@ -17,9 +17,6 @@
 /// Maximum number of machines of one zone probed at a time.
 const MAX_PROBES_PER_ZONE: usize = 4;
 
-/// Maximum number of commands in one answer, which keeps it below the protocol's line limit.
-pub(super) const MAX_COMMANDS_PER_ANSWER: usize = 400;
-
 impl ClusterState {
     /// Returns commands that can't wait for the next report. A worker that does not know this
     /// leader's token yet is sent it at once, and its reply reveals its tasks.
--- a/src/core/election/failover.rs
+++ b/src/core/election/failover.rs
@@ -14,9 +14,8 @@
     Answer, Node, Purpose, RETRY_DELAY, STATE_TIMEOUT,
     assignment_index::ShardRecord,
     cluster::{ClusterState, StoredClusterState},
-    commands::MAX_COMMANDS_PER_ANSWER,
     job::JobId,
-    machine::{Command, WorkerReport},
+    machine::{Command, MAX_COMMANDS_PER_ANSWER, WorkerReport},
     results::{ChunkPart, Results},
     store::{ASSIGNMENTS_PREFIX, Entry, PROGRESS_PREFIX, StateReply, StateRequest},
 };
--- a/src/core/machine.rs
+++ b/src/core/machine.rs
@@ -114,6 +114,9 @@
     Unclear,
 }
 
+/// Maximum number of commands in one answer, which keeps it below the protocol's line limit.
+pub(super) const MAX_COMMANDS_PER_ANSWER: usize = 400;
+
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Command {
     Start {
--- a/src/core/reconciliation.rs
+++ b/src/core/reconciliation.rs
@@ -3,18 +3,15 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use kiteyard_recovery::{
-    adoption::{AdoptionDecision, KnownState, Reported, decide_adoption},
-    reconciliation::{Input, Output, Reconciliation, WaitLimits, ZoneCounts},
-};
+use kiteyard_recovery::reconciliation::{Input, Output, Reconciliation, WaitLimits, ZoneCounts};
 use tracing::info;
 
 use super::{
-    cluster::{ClusterState, Slot},
+    cluster::ClusterState,
     config::Config,
     heartbeat::WORKER_RETRY_DELAY,
-    job::{JobSpec, TaskId},
-    machine::{ExitReason, Machine, MachineState, TaskPhase},
+    job::JobSpec,
+    machine::{Machine, MachineState},
 };
 
 /// Action that is deferred during reconciliation.
@@ -147,24 +144,6 @@
     pub(super) fn may_have_unknown_machines(&self, now: Duration) -> bool {
         self.reconciler.reconciliation.is_list_pending(now)
     }
-
-    /// Decides how to handle a reported task that this leader did not start.
-    pub(super) fn decide_adoption(&self, task: &TaskId, phase: TaskPhase) -> AdoptionDecision {
-        let job = self.jobs.get(&task.job);
-        let slot = job.and_then(|job| job.slots.get(task.index as usize));
-        let known_state = match slot {
-            None => KnownState::Unknown,
-            Some(Slot::Waiting) => KnownState::Waiting,
-            Some(Slot::Placed(_)) => KnownState::PlacedElsewhere,
-            Some(Slot::Done) => KnownState::Done,
-        };
-        let reported = match phase {
-            TaskPhase::Exited(ExitReason::Done) => Reported::Completed,
-            phase if phase.exited() => Reported::Ended,
-            _ => Reported::Alive,
-        };
-        decide_adoption(known_state, reported)
-    }
 }
 
 /// Returns whether a machine has neither reported nor been given up.
--- a/tests/world/faults.rs
+++ b/tests/world/faults.rs
@@ -30,6 +30,8 @@
     LeaderZoneCut,
     /// A fifth of the machines hang and resume within their lease.
     MachinesHang,
+    /// A third of the machines hang until some time after the next claim.
+    MachinesHangPastClaim,
     /// The leader's process crashes.
     LeaderCrash,
     /// The leader's process ends and is not restarted.
@@ -171,6 +173,7 @@
                     .filter(|_| self.rollout.spare_successor);
                 self.crash(node.unwrap_or(leader));
             }
+            Fault::MachinesHangPastClaim => self.hang_past_claim(until),
             Fault::LeaderStops => self.push(self.now, Event::Stop(leader)),
             Fault::MachinesSilent => self.silence_machines(until),
             Fault::AllCrash => (0..NODES).for_each(|node| self.crash(node)),
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -7,6 +7,7 @@
 mod combined_faults;
 mod controller_downtime;
 mod draining;
+mod duplicate_attempts;
 mod failover_answers;
 mod fault_pairs;
 mod faults;
--- a/tests/world/old_reports.rs
+++ b/tests/world/old_reports.rs
@@ -1,10 +1,11 @@
 //! Old reports: copies that are kept and reach every controller as the next leader starts, and
 //! reports that are held back until a new leader has acted.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use kiteyard::core::{
     Answer, Input, Output,
+    job::TaskId,
     machine::{Command, WorkerReport},
     store::{Change, LEADER_KEY},
 };
@@ -20,7 +21,12 @@
 pub struct OldReports {
     /// A quarter of all reports is copied for the next leader until then.
     kept_until: Duration,
+    /// If set, the last report of each machine is copied instead, and its copy reaches every node
+    /// this long after the claim.
+    pub last_copy_delay: Option<Duration>,
     kept: Vec<WorkerReport>,
+    /// Attempts that delivered copies list as alive.
+    copied_attempts: BTreeMap<TaskId, u64>,
     /// A twelfth of all reports is held back until then.
     held_until: Duration,
     /// Reports held back, each with the claim that was current when it was sent.
@@ -38,6 +44,13 @@
     commands.any(|command| matches!(command, Command::Start { .. }))
 }
 
+impl OldReports {
+    /// Returns the attempt of a task that a delivered copy lists as alive.
+    pub fn copied_attempt(&self, task: &TaskId) -> Option<u64> {
+        self.copied_attempts.get(task).copied()
+    }
+}
+
 impl World {
     pub fn keep_reports(&mut self, until: Duration) {
         self.old_reports.kept_until = until;
@@ -60,8 +73,8 @@
 
     /// Handles a report that a worker sends; returns whether it is held back.
     pub fn intercept_report(&mut self, report: &WorkerReport) -> bool {
-        if self.now < self.old_reports.kept_until && self.rng.random_range(0..4) == 0 {
-            self.old_reports.kept.push(report.clone());
+        if self.now < self.old_reports.kept_until {
+            self.keep_copy(report);
         }
         let is_held = self.now < self.old_reports.held_until && self.rng.random_range(0..12) == 0;
         if is_held {
@@ -71,6 +84,16 @@
         is_held
     }
 
+    fn keep_copy(&mut self, report: &WorkerReport) {
+        let kept = &mut self.old_reports.kept;
+        if self.old_reports.last_copy_delay.is_some() {
+            kept.retain(|copy| copy.machine != report.machine);
+            kept.push(report.clone());
+        } else if self.rng.random_range(0..4) == 0 {
+            kept.push(report.clone());
+        }
+    }
+
     /// Delivers the kept copies to every node after a claim, as the leader starts.
     pub fn deliver_kept_reports(&mut self, changes: &[Change], claim: u64) {
         let claims = |c: &Change| matches!(c, Change::Put { key, .. } if key == LEADER_KEY);
@@ -79,8 +102,15 @@
         }
         self.old_reports.claim = claim;
         for report in std::mem::take(&mut self.old_reports.kept) {
+            let alive = report.tasks.iter().filter(|task| !task.phase.exited());
+            let alive = alive.map(|task| (task.task.clone(), task.attempt));
+            self.old_reports.copied_attempts.extend(alive);
             for node in 0..NODES {
-                let at = self.now + ms(self.rng.random_range(1..900));
+                let delay = match self.old_reports.last_copy_delay {
+                    Some(delay) => delay + ms(self.rng.random_range(1..30)),
+                    None => ms(self.rng.random_range(1..900)),
+                };
+                let at = self.now + delay;
                 self.deliver_old_report(node, at, report.clone());
                 self.old_reports.copies_after_claim += 1;
             }
--- a/tests/world/sim/defects.rs
+++ b/tests/world/sim/defects.rs
@@ -45,6 +45,8 @@
     OldReportsCarryNewToken,
     /// A leader does not record which reports it answered before its failover's reads ended.
     FailoverAnswersUnrecorded,
+    /// A leader disregards a second, newer attempt of a task that an old report listed.
+    SecondAttemptsUnreported,
     /// A worker executes commands under any token.
     AcceptsOldTokens,
     /// A machine that hung does not execute stop commands.
--- a/tests/world/sim/mod.rs
+++ b/tests/world/sim/mod.rs
@@ -32,10 +32,11 @@
 
 use crate::{
     blocked_reports::BlockedReports, combined_faults::CombinedFaults,
-    controller_downtime::ControllerDowntime, failover_answers::FailoverAnswers, faults::Fault,
-    late_commands::LateCommands, liveness::Liveness, network_faults::NetworkFaults,
-    new_machines::NewMachines, observer::Observer, old_reports::OldReports, rollout::RolloutState,
-    scarcity::Scarcity, state::StateStore,
+    controller_downtime::ControllerDowntime, duplicate_attempts::DuplicateAttempts,
+    failover_answers::FailoverAnswers, faults::Fault, late_commands::LateCommands,
+    liveness::Liveness, network_faults::NetworkFaults, new_machines::NewMachines,
+    observer::Observer, old_reports::OldReports, rollout::RolloutState, scarcity::Scarcity,
+    state::StateStore,
 };
 
 pub use defects::Defect;
@@ -162,6 +163,7 @@
     pub liveness: Liveness,
     pub blocked_reports: BlockedReports,
     pub old_reports: OldReports,
+    pub duplicate_attempts: DuplicateAttempts,
     pub failover_answers: FailoverAnswers,
     pub late_commands: LateCommands,
     pub new_machines: NewMachines,
@@ -216,6 +218,7 @@
             liveness: Liveness::default(),
             blocked_reports: BlockedReports::default(),
             old_reports: OldReports::default(),
+            duplicate_attempts: DuplicateAttempts::default(),
             failover_answers: FailoverAnswers::default(),
             late_commands: LateCommands::default(),
             new_machines: NewMachines::default(),
--- a/tests/world/sim/requests.rs
+++ b/tests/world/sim/requests.rs
@@ -144,6 +144,7 @@
         if changes.iter().any(claims) {
             self.requests.claims.insert(*revision, node);
             self.claim_committed(node, *revision);
+            self.resume_after_claim();
             self.count_claim_while_waiting();
         }
     }
