--- a/tests/scheduling/main.rs
+++ b/tests/scheduling/main.rs
@@ -1,6 +1,7 @@
 //! Scheduling rules: a simple reference model compared with the scheduler on random clusters,
 //! and the examples of the paper on nominations.
 
+mod attempts;
 mod cluster;
 mod dependencies;
 mod provisioning;
