Releases: a machine that may get a delayed start is not released as faulty

Marking a machine for release ends its 'unresolved' state, so that the jobs listed with it may start elsewhere. For a machine that failed by the cloud's list or lost its lease that is proven; a machine marked as faulty may be known by reports alone that do not show this leader's token (its reports arrive, answers to it are lost), and a previous leader's delayed start may still be executed there.

The test fails before this change.

--- a/src/core/provisioning.rs
+++ b/src/core/provisioning.rs
@@ -400,7 +400,10 @@
                 MachineState::Lost if now > last_heard + self.config.worker_lease_bound * 5 => {
                     marked.push((m.id.clone(), "unresponsive"));
                 }
-                MachineState::Up if m.failures.len() >= 2 => marked.push((m.id.clone(), "faulty")),
+                // An unresolved machine may yet execute a delayed start of a previous leader.
+                MachineState::Up if !m.unresolved && m.failures.len() >= 2 => {
+                    marked.push((m.id.clone(), "faulty"));
+                }
                 _ => {}
             }
         }
--- a/tests/scheduling/attempts.rs
+++ b/tests/scheduling/attempts.rs
@@ -181,6 +181,39 @@
     assert_eq!(c.machines_of(&other).len(), 1);
 }
 
+/// A machine that fails tasks is not given up while a previous leader's delayed start may still
+/// arrive there: marked for release, it counted as having no unknown tasks.
+#[test]
+fn an_unresolved_machine_is_not_released_as_faulty() {
+    let mut c = crate::cluster::Cluster::after_failover(
+        4.0,
+        vec![(0, stored_shard(), 1)],
+        Duration::from_secs(140),
+    );
+    let tasks: Vec<JobId> = (2..4)
+        .map(|number| c.add_job(spec(number, Kind::Array, Priority::Normal, 1, 1.0)))
+        .collect();
+    for phase in [TaskPhase::Running, TaskPhase::Exited(ExitReason::Error)] {
+        let listed = tasks.iter().map(|job| ReportedTask {
+            task: TaskId {
+                job: job.clone(),
+                index: 0,
+            },
+            attempt: OLD,
+            phase,
+        });
+        let listed = listed.collect();
+        c.running.insert("vm-1".to_owned(), listed);
+        let unfenced = c.build_report("vm-1", 1, 3 << 16);
+        process(&mut c, &unfenced);
+    }
+    assert_eq!(c.cluster.machines["vm-1"].failures.len(), 2);
+    c.cluster.due_cloud_request(c.now);
+    let machine = &c.cluster.machines["vm-1"];
+    assert!(machine.unresolved);
+    assert_eq!(machine.state, MachineState::Up);
+}
+
 fn stored_shard() -> kiteyard::core::assignment_index::ShardRecord {
     let shard = serde_json::json!({
         "kinds": [["m", "a", false]], "jobs": ["run-000001"], "machines": [["vm-1", 0, [0]]]
