--- a/tests/world/answers.rs
+++ b/tests/world/answers.rs
@@ -33,11 +33,7 @@
     for seed in seeds(4) {
         let world = world(SHORT, seed, Defect::None, faults);
         let context = format!("seed {seed}, {faults:?}, {:?}", world.requests.counts);
-        assert_eq!(
-            world.observer.violations(),
-            Vec::<String>::new(),
-            "{context}"
-        );
+        world.observer.assert_no_violations(&context);
         assert!(occurred(&world.requests.counts), "{context}");
     }
 }
@@ -149,11 +145,7 @@
         let unfinished = world.unfinished_jobs();
         let counts = &world.requests.counts;
         let context = format!("seed {seed}: {done}, {cancelled}, {counts:?}, {unfinished:?}");
-        assert_eq!(
-            world.observer.violations(),
-            Vec::<String>::new(),
-            "{context}"
-        );
+        world.observer.assert_no_violations(&context);
         assert!(done > 150 && done + cancelled == 480, "{context}");
         assert!(world.requests.counts.at_completion > 20, "{context}");
     }
@@ -182,11 +174,7 @@
                 world = world.with_fault(20_000 + delay_ms, Fault::CancelBurst, Duration::ZERO);
                 world.run();
                 let context = format!("seed {seed}, {fault:?}, {:?}", world.requests.counts);
-                assert_eq!(
-                    world.observer.violations(),
-                    Vec::<String>::new(),
-                    "{context}"
-                );
+                world.observer.assert_no_violations(&context);
                 assert!(world.requests.counts.burst_cancellations > 5, "{context}");
             }
         }
@@ -210,11 +198,7 @@
     for seed in seeds(6) {
         let world = cancel_burst_at_refusal(seed, Defect::None);
         let context = format!("seed {seed}, {:?}", world.requests.counts);
-        assert_eq!(
-            world.observer.violations(),
-            Vec::<String>::new(),
-            "{context}"
-        );
+        world.observer.assert_no_violations(&context);
         assert!(
             world.requests.counts.confirmed_during_refusal > 5,
             "{context}"
--- a/tests/world/blocked_reports.rs
+++ b/tests/world/blocked_reports.rs
@@ -65,11 +65,7 @@
         for scale in [MEDIUM, LONG] {
             let world = blocked_world(scale, seed, Defect::None);
             let context = format!("seed {seed}");
-            assert_eq!(
-                world.observer.violations(),
-                Vec::<String>::new(),
-                "{context}"
-            );
+            world.observer.assert_no_violations(&context);
             finished += world.observer.finished;
             commands += world.blocked_reports.commands;
         }
--- a/tests/world/controller_downtime.rs
+++ b/tests/world/controller_downtime.rs
@@ -104,11 +104,7 @@
                 .observer
                 .check_answered(world.now, Duration::from_secs(20));
             let context = format!("seed {seed}, {faults:?}");
-            assert_eq!(
-                world.observer.violations(),
-                Vec::<String>::new(),
-                "{context}"
-            );
+            world.observer.assert_no_violations(&context);
             finished += world.observer.finished;
         }
         assert!(finished > 3, "seed {seed}: {finished} finished");
--- a/tests/world/draining.rs
+++ b/tests/world/draining.rs
@@ -36,11 +36,7 @@
     }
     world.run();
     let context = format!("seed {seed}, {faults:?}");
-    assert_eq!(
-        world.observer.violations(),
-        Vec::<String>::new(),
-        "{context}"
-    );
+    world.observer.assert_no_violations(&context);
     assert!(
         world.observer.finished > 8,
         "{context}: too few jobs finished"
@@ -109,10 +105,8 @@
         let later = (4..12).map(|i| format!("vm-{i:06}"));
         world.push(ms(60 * SECOND_MS), Event::Drain(later.collect()));
         world.run();
-        assert_eq!(
-            world.observer.violations(),
-            Vec::<String>::new(),
-            "seed {seed}"
-        );
+        world
+            .observer
+            .assert_no_violations(format_args!("seed {seed}"));
     }
 }
--- a/tests/world/duplicate_attempts.rs
+++ b/tests/world/duplicate_attempts.rs
@@ -124,11 +124,9 @@
         let mut copies = 0;
         for instant in instants() {
             let world = world(instant, seed, Defect::None);
-            assert_eq!(
-                world.observer.violations(),
-                Vec::<String>::new(),
-                "{instant:?}, seed {seed}"
-            );
+            world
+                .observer
+                .assert_no_violations(format_args!("{instant:?}, seed {seed}"));
             assert_eq!(world.duplicate_attempts.resumed_after_claim, 1);
             copies += world.old_reports.copies_after_claim;
         }
@@ -139,9 +137,9 @@
 #[test]
 fn a_leader_that_disregards_a_second_attempt_is_caught() {
     let ran_twice = |instant: Instant, seed: u64| {
-        let world = world(instant, seed, Defect::SecondAttemptsUnreported);
-        let violations = world.observer.violations();
-        violations.iter().any(|v| v.starts_with("ran_twice"))
+        world(instant, seed, Defect::SecondAttemptsUnreported)
+            .observer
+            .has_broken("ran_twice")
     };
     let caught = |seed| instants().into_iter().any(|at| ran_twice(at, seed));
     assert!((0..4).any(caught));
--- a/tests/world/failover_answers.rs
+++ b/tests/world/failover_answers.rs
@@ -212,11 +212,9 @@
         for seed in seeds(2) {
             for instant in instants() {
                 let world = world(claim, instant, seed, Defect::None);
-                assert_eq!(
-                    world.observer.violations(),
-                    Vec::<String>::new(),
-                    "{claim:?}, {instant:?}, seed {seed}"
-                );
+                world
+                    .observer
+                    .assert_no_violations(format_args!("{claim:?}, {instant:?}, seed {seed}"));
                 answered += world.failover_answers.answered;
             }
         }
@@ -228,9 +226,9 @@
 fn a_leader_that_does_not_record_the_answers_of_its_failover_is_caught() {
     let ran_twice = |instant: Instant, seed: u64| {
         let defect = Defect::FailoverAnswersUnrecorded;
-        let world = world(Claim::NextProcess, instant, seed, defect);
-        let violations = world.observer.violations();
-        violations.iter().any(|v| v.starts_with("ran_twice"))
+        world(Claim::NextProcess, instant, seed, defect)
+            .observer
+            .has_broken("ran_twice")
     };
     let caught = |seed| instants().any(|instant| ran_twice(instant, seed));
     assert!((0..4).any(caught));
--- a/tests/world/fault_pairs.rs
+++ b/tests/world/fault_pairs.rs
@@ -53,11 +53,7 @@
     }
     world.run();
     let context = format!("seed {seed}, {faults:?}");
-    assert_eq!(
-        world.observer.violations(),
-        Vec::<String>::new(),
-        "{context}"
-    );
+    world.observer.assert_no_violations(&context);
     assert!(
         world.observer.starts > 40,
         "{context}: too few tasks started"
--- a/tests/world/late_commands.rs
+++ b/tests/world/late_commands.rs
@@ -94,11 +94,7 @@
         for scale in [MEDIUM, LONG] {
             let world = world(scale, seed, Defect::None);
             let context = format!("seed {seed}");
-            assert_eq!(
-                world.observer.violations(),
-                Vec::<String>::new(),
-                "{context}"
-            );
+            world.observer.assert_no_violations(&context);
             finished += world.observer.finished;
             deposed += world.late_commands.after_newer_leader;
             after_session += world.late_commands.after_session;
--- a/tests/world/late_writes.rs
+++ b/tests/world/late_writes.rs
@@ -32,11 +32,7 @@
         ] {
             let world = world(seed, Defect::None, &[&[LATE_WRITES], others].concat());
             let context = format!("seed {seed}, {others:?}");
-            assert_eq!(
-                world.observer.violations(),
-                Vec::<String>::new(),
-                "{context}"
-            );
+            world.observer.assert_no_violations(&context);
             assert!(
                 world.observer.finished > 8,
                 "{context}: too few jobs finished"
--- a/tests/world/limits.rs
+++ b/tests/world/limits.rs
@@ -51,11 +51,7 @@
     let (starts, finished) = (world.observer.starts, world.observer.finished);
     world.scale.duration = duration;
     world.run();
-    assert_eq!(
-        world.observer.violations(),
-        Vec::<String>::new(),
-        "{context}"
-    );
+    world.observer.assert_no_violations(context);
     let more = (
         world.observer.starts - starts,
         world.observer.finished - finished,
--- a/tests/world/liveness.rs
+++ b/tests/world/liveness.rs
@@ -264,11 +264,7 @@
 pub fn assert_rules_hold(scale: Scale, seed: u64, faults: &[(u64, Fault, u64)]) -> World {
     let world = world(scale, seed, Defect::None, faults);
     let context = format!("seed {seed}, {faults:?}");
-    assert_eq!(
-        world.observer.violations(),
-        Vec::<String>::new(),
-        "{context}"
-    );
+    world.observer.assert_no_violations(&context);
     assert!(
         world.observer.starts > 20,
         "{context}: too few tasks started"
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -43,11 +43,9 @@
     for seed in seeds {
         let mut world = World::new(seed, Defect::None);
         world.run();
-        assert_eq!(
-            world.observer.violations(),
-            Vec::<String>::new(),
-            "seed {seed}"
-        );
+        world
+            .observer
+            .assert_no_violations(format_args!("seed {seed}"));
         assert!(
             world.observer.starts > 20,
             "seed {seed}: too few tasks started"
@@ -168,11 +166,7 @@
     world.run();
     world.observer.check_answered(world.now, ANSWER_TIMEOUT);
     let context = format!("seed {seed}, {faults:?}");
-    assert_eq!(
-        world.observer.violations(),
-        Vec::<String>::new(),
-        "{context}"
-    );
+    world.observer.assert_no_violations(&context);
     assert!(
         world.observer.starts > 40,
         "{context}: too few tasks started"
@@ -231,11 +225,9 @@
     for seed in seeds(8) {
         let mut world = quick_world(SMALL, seed);
         world.run();
-        assert_eq!(
-            world.observer.violations(),
-            Vec::<String>::new(),
-            "seed {seed}"
-        );
+        world
+            .observer
+            .assert_no_violations(format_args!("seed {seed}"));
     }
 }
 
@@ -320,11 +312,9 @@
     for seed in seeds(16) {
         let mut world = World::with_scale(LICENSED, seed, Defect::None);
         world.run();
-        assert_eq!(
-            world.observer.violations(),
-            Vec::<String>::new(),
-            "seed {seed}"
-        );
+        world
+            .observer
+            .assert_no_violations(format_args!("seed {seed}"));
         assert!(
             world.observer.finished > 2,
             "seed {seed}: too few jobs finished"
--- a/tests/world/observer.rs
+++ b/tests/world/observer.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, HashSet},
+    fmt::Display,
     time::Duration,
 };
 
@@ -68,6 +69,17 @@
         self.violations.clone()
     }
 
+    /// Asserts that no rule was broken; `context` says which world it was.
+    #[track_caller]
+    pub fn assert_no_violations(&self, context: impl Display) {
+        assert_eq!(self.violations, Vec::<String>::new(), "{context}");
+    }
+
+    /// Whether the rule was broken.
+    pub fn has_broken(&self, rule: &str) -> bool {
+        self.violations.iter().any(|v| v.starts_with(rule))
+    }
+
     pub fn report_violation(&mut self, now: Duration, rule: &str, detail: String) {
         // Records at most five violations per rule, so that one rule does not hide another.
         if self
--- a/tests/world/old_reports.rs
+++ b/tests/world/old_reports.rs
@@ -161,11 +161,7 @@
         for scale in [MEDIUM, LONG] {
             let world = world(scale, seed, fault, Defect::None);
             let context = format!("{fault:?}, seed {seed}");
-            assert_eq!(
-                world.observer.violations(),
-                Vec::<String>::new(),
-                "{context}"
-            );
+            world.observer.assert_no_violations(&context);
             assert!(
                 delivered(&world) > 10,
                 "{context}: {} old reports delivered",
--- a/tests/world/pipelines.rs
+++ b/tests/world/pipelines.rs
@@ -60,11 +60,7 @@
 fn assert_rules_hold_in(world: World, seed: u64, faults: Faults) -> World {
     let counts = &world.pipelines.counts;
     let context = format!("seed {seed}, {faults:?}, {counts:?}");
-    assert_eq!(
-        world.observer.violations(),
-        Vec::<String>::new(),
-        "{context}"
-    );
+    world.observer.assert_no_violations(&context);
     assert_eq!(world.unfinished_stages(), [], "{context}");
     assert_eq!(counts.unknown_refused, UNKNOWN_COUNT as u64, "{context}");
     assert!(
@@ -278,11 +274,7 @@
             let world = run(world, &[(30_000, Fault::CancelBurst, 0)]);
             let counts = &world.pipelines.counts;
             let context = format!("seed {seed}, {counts:?}");
-            assert_eq!(
-                world.observer.violations(),
-                Vec::<String>::new(),
-                "{context}"
-            );
+            world.observer.assert_no_violations(&context);
         }
     }
 }
--- a/tests/world/rolling.rs
+++ b/tests/world/rolling.rs
@@ -35,11 +35,7 @@
 
 fn run_to(mut world: World, end: ClusterGeneration, context: &str) -> World {
     world.run();
-    assert_eq!(
-        world.observer.violations(),
-        Vec::<String>::new(),
-        "{context}"
-    );
+    world.observer.assert_no_violations(context);
     assert!(
         world.observer.finished > 6,
         "{context}: too few jobs finished"
@@ -165,11 +161,7 @@
         "seed {seed}, to {to}, {stage}, {faults:?}: {:?}",
         world.rollout.seen_stages
     );
-    assert_eq!(
-        world.observer.violations(),
-        Vec::<String>::new(),
-        "{context}"
-    );
+    world.observer.assert_no_violations(&context);
     assert!(
         world.observer.finished > 6,
         "{context}: too few jobs finished"
@@ -233,11 +225,7 @@
                 "write {at}, before {before}: {:?}",
                 world.rollout.seen_stages
             );
-            assert_eq!(
-                world.observer.violations(),
-                Vec::<String>::new(),
-                "{context}"
-            );
+            world.observer.assert_no_violations(&context);
             assert_eq!(world.cluster().to, 1, "{context}");
         }
     }
@@ -255,11 +243,9 @@
         );
         let mut world = world.with_fault(45 * SECOND_MS, Fault::AllCrash, Duration::ZERO);
         world.run();
-        assert_eq!(
-            world.observer.violations(),
-            Vec::<String>::new(),
-            "seed {seed}"
-        );
+        world
+            .observer
+            .assert_no_violations(format_args!("seed {seed}"));
         assert!(world.observer.finished > 8, "seed {seed}");
     }
 }
@@ -278,11 +264,9 @@
         // The successor does not crash.
         world.rollout.spare_successor = planned;
         world.run();
-        assert_eq!(
-            world.observer.violations(),
-            Vec::<String>::new(),
-            "seed {seed}"
-        );
+        world
+            .observer
+            .assert_no_violations(format_args!("seed {seed}"));
         world.rollout.placement_gap
     };
     for seed in seeds(4) {
@@ -374,11 +358,9 @@
         let world = world.with_fault(30 * SECOND_MS, Fault::ZoneCut, Duration::from_secs(20));
         let mut world = world.with_fault(33 * SECOND_MS + 500, Fault::LeaderCrash, Duration::ZERO);
         world.run();
-        assert_eq!(
-            world.observer.violations(),
-            Vec::<String>::new(),
-            "seed {seed}"
-        );
+        world
+            .observer
+            .assert_no_violations(format_args!("seed {seed}"));
         assert!(world.observer.finished > 8, "seed {seed}");
         world.rollout.last_unresolved
     };
@@ -413,11 +395,7 @@
                 let mut world = world.with_fault(32 * SECOND_MS + 300, fault, duration);
                 world.run();
                 let context = format!("seed {seed}, {fault:?}, cut for {cut} ms");
-                assert_eq!(
-                    world.observer.violations(),
-                    Vec::<String>::new(),
-                    "{context}"
-                );
+                world.observer.assert_no_violations(&context);
                 assert!(
                     world.observer.finished > 8,
                     "{context}: too few jobs finished"
@@ -454,11 +432,7 @@
         world.rollout.acceptance_delay = Some(Duration::from_secs(25));
         world.run();
         let context = format!("seed {seed}: {:?}", world.rollout.seen_stages);
-        assert_eq!(
-            world.observer.violations(),
-            Vec::<String>::new(),
-            "{context}"
-        );
+        world.observer.assert_no_violations(&context);
         assert!(
             world.observer.finished > 3,
             "{context}: too few jobs finished"
