Tests: repeats of this change's own tests stand once

The way of a report into a failover, the stored shard of one machine (two older tests held it as well), and the variant that hides an attempt filters the finished report instead of building a set for each.

--- a/tests/failover_reports.rs
+++ b/tests/failover_reports.rs
@@ -206,6 +206,26 @@
         self.step(input);
     }
 
+    /// Runs the node into its failover, with one report by this path. Returns the earliest time at
+    /// which the report can have been answered.
+    fn report_during_failover(&mut self, path: Path) -> Duration {
+        if path == Path::Held {
+            self.available_from = Duration::from_secs(2);
+            self.run_until(Duration::from_secs(1));
+            self.send_report(path);
+            assert!(!self.has_renewed());
+        }
+        self.run_until(Duration::from_secs(3));
+        assert!(self.has_claimed && !self.node.has_taken_over(), "{path:?}");
+        match path {
+            Path::Held => self.available_from,
+            Path::Direct | Path::Forwarded => {
+                self.send_report(path);
+                self.now
+            }
+        }
+    }
+
     fn has_renewed(&self) -> bool {
         let renews = |answer: &Answer| matches!(answer, Answer::Commands { token, .. } if *token == CLAIM << 16);
         self.answers.iter().any(renews)
@@ -218,21 +238,7 @@
 fn a_silent_machine_is_empty_one_lease_after_any_answer_of_the_failover() {
     for path in [Path::Direct, Path::Held, Path::Forwarded] {
         let mut site = Site::new();
-        if path == Path::Held {
-            site.available_from = Duration::from_secs(2);
-            site.run_until(Duration::from_secs(1));
-            site.send_report(path);
-            assert!(!site.has_renewed());
-        }
-        site.run_until(Duration::from_secs(3));
-        assert!(site.has_claimed && !site.node.has_taken_over(), "{path:?}");
-        let answered_at = match path {
-            Path::Held => site.available_from,
-            Path::Direct | Path::Forwarded => {
-                site.send_report(path);
-                site.now
-            }
-        };
+        let answered_at = site.report_during_failover(path);
         assert!(site.has_renewed(), "{path:?}: {:?}", site.answers);
         site.finish_reads();
         assert!(site.node.has_unresolved_machines(), "{path:?}");
@@ -260,15 +266,7 @@
     for path in [Path::Direct, Path::Held, Path::Forwarded] {
         let mut site = Site::new();
         site.is_zone_partitioned = true;
-        if path == Path::Held {
-            site.available_from = Duration::from_secs(2);
-            site.run_until(Duration::from_secs(1));
-            site.send_report(path);
-        }
-        site.run_until(Duration::from_secs(3));
-        if path != Path::Held {
-            site.send_report(path);
-        }
+        site.report_during_failover(path);
         site.run_until(Duration::from_secs(5));
         assert!(site.has_claimed && !site.node.has_taken_over(), "{path:?}");
         assert!(!site.has_renewed(), "{path:?}: {:?}", site.answers);
--- a/tests/scheduling/attempts.rs
+++ b/tests/scheduling/attempts.rs
@@ -3,13 +3,13 @@
 use std::{sync::Arc, time::Duration};
 
 use kiteyard::core::{
-    job::{JobId, JobSpec, Kind, Priority, TaskId},
+    job::{JobId, Kind, Priority, TaskId},
     machine::{
         Command, DirectReply, ExitReason, MachineState, ReportedTask, TaskPhase, WorkerReport,
     },
 };
 
-use crate::cluster::{Cluster, spec};
+use crate::cluster::{Cluster, shard_of_one_machine, spec};
 
 const OLD: u64 = 1;
 const REAL: u64 = 2;
@@ -46,10 +46,7 @@
 fn leader_with_job(kind: Kind) -> (Cluster, JobId) {
     let mut c = Cluster::new(4.0);
     let tasks = if kind == Kind::Gang { 2 } else { 1 };
-    let job = c.add_job(JobSpec {
-        checkpoint_s: 0.0,
-        ..spec(1, kind, Priority::Normal, tasks, 2.0)
-    });
+    let job = c.add_job(spec(1, kind, Priority::Normal, tasks, 2.0));
     (c, job)
 }
 
@@ -185,9 +182,9 @@
 /// arrive there: marked for release, it counted as having no unknown tasks.
 #[test]
 fn an_unresolved_machine_is_not_released_as_faulty() {
-    let mut c = crate::cluster::Cluster::after_failover(
+    let mut c = Cluster::after_failover(
         4.0,
-        vec![(0, stored_shard(), 1)],
+        vec![(0, shard_of_one_machine(), 1)],
         Duration::from_secs(140),
     );
     let tasks: Vec<JobId> = (2..4)
@@ -214,19 +211,12 @@
     assert_eq!(machine.state, MachineState::Up);
 }
 
-fn stored_shard() -> kiteyard::core::assignment_index::ShardRecord {
-    let shard = serde_json::json!({
-        "kinds": [["m", "a", false]], "jobs": ["run-000001"], "machines": [["vm-1", 0, [0]]]
-    });
-    serde_json::from_value(shard).expect("a shard of the assignment index")
-}
-
 /// A superseded leader may have answered a worker after its last report to this leader and before
 /// the worker saw this leader's token: until it has stopped, its answers count.
 #[test]
 fn a_token_seen_by_a_direct_command_does_not_end_a_previous_leaders_lease() {
     let resolve_by = Duration::from_secs(113);
-    let mut c = Cluster::after_failover(4.0, vec![(0, stored_shard(), 1)], resolve_by);
+    let mut c = Cluster::after_failover(4.0, vec![(0, shard_of_one_machine(), 1)], resolve_by);
     c.running.insert("vm-1".to_owned(), Vec::new());
     let unfenced = c.build_report("vm-1", 1, 3 << 16);
     process(&mut c, &unfenced);
--- a/tests/scheduling/cluster.rs
+++ b/tests/scheduling/cluster.rs
@@ -216,6 +216,14 @@
     }
 }
 
+/// Returns a stored shard that lists `run-000001` with `vm-1`.
+pub fn shard_of_one_machine() -> ShardRecord {
+    let shard = serde_json::json!({
+        "kinds": [["m", "a", false]], "jobs": ["run-000001"], "machines": [["vm-1", 0, [0]]]
+    });
+    serde_json::from_value(shard).expect("a shard of the assignment index")
+}
+
 pub fn cpu_resources(cpus: f64) -> Resources {
     Resources {
         cpus,
--- a/tests/scheduling/main.rs
+++ b/tests/scheduling/main.rs
@@ -25,7 +25,7 @@
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
-use cluster::{Cluster, cpu_resources, spec};
+use cluster::{Cluster, cpu_resources, shard_of_one_machine, spec};
 
 // Reference model, without any optimisation.
 
@@ -428,10 +428,7 @@
 /// their machine is unresponsive, although their team is no longer known.
 #[test]
 fn a_cancelled_job_on_an_unresponsive_machine_counts_against_the_limit() {
-    let shard = serde_json::json!({
-        "kinds": [["m", "a", false]], "jobs": ["run-000001"], "machines": [["vm-1", 0, [0]]]
-    });
-    let shard = serde_json::from_value(shard).expect("a shard of the assignment index");
+    let shard = shard_of_one_machine();
     let resolve_by = Duration::from_secs(105);
     let mut c = Cluster::after_failover(600.0, vec![(0, shard, 3)], resolve_by);
     c.add_machine("vm-2");
@@ -498,10 +495,7 @@
 /// answered: the answer may not have arrived.
 #[test]
 fn a_worker_that_a_previous_leader_may_answer_is_not_lost() {
-    let shard = serde_json::json!({
-        "kinds": [["m", "a", false]], "jobs": ["run-000001"], "machines": [["vm-1", 0, [0]]]
-    });
-    let shard = serde_json::from_value(shard).expect("a shard of the assignment index");
+    let shard = shard_of_one_machine();
     let resolve_by = Duration::from_secs(140);
     let mut c = Cluster::after_failover(4.0, vec![(0, shard, 3)], resolve_by);
     let job = spec(1, Kind::Array, Priority::Normal, 1, 4.0);
--- a/tests/world/sim/workers.rs
+++ b/tests/world/sim/workers.rs
@@ -1,10 +1,6 @@
 //! The workers: leases, sessions, tasks, reports and commands.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use kiteyard::core::{
     Answer, CallId, Input, Output, RequestId,
@@ -291,21 +287,13 @@
         worker.next_report = worker.next_report.min(worker.last_sent + ms(500));
     }
 
-    /// Attempts on the machine that its report lists.
-    fn listed_attempts(&self, name: &str) -> BTreeSet<(TaskId, u64)> {
-        let attempts = self.workers[name].tasks.keys();
-        let listed = attempts.filter(|(task, attempt)| !self.hides_attempt(task, *attempt));
-        listed.cloned().collect()
-    }
-
     fn report(&mut self, name: &str) -> WorkerReport {
         let now = self.now;
         let reports_running_as_done = self.defect == Defect::RunningReportedDone;
         let token_bits = u64::from(self.defect == Defect::AssumesUnansweredVoid) * 0xff;
-        let listed = self.listed_attempts(name);
         let worker = self.workers.get_mut(name).expect("known worker");
         worker.seq += 1;
-        WorkerReport {
+        let mut report = WorkerReport {
             machine: Arc::from(name),
             addr: "127.0.0.1:9".parse().expect("valid address"),
             machine_type: Arc::from("m"),
@@ -318,7 +306,6 @@
             tasks: worker
                 .tasks
                 .iter()
-                .filter(|(key, _)| listed.contains(key))
                 .map(|((task, attempt), t)| ReportedTask {
                     task: task.clone(),
                     attempt: *attempt,
@@ -330,7 +317,11 @@
                     },
                 })
                 .collect(),
-        }
+        };
+        report
+            .tasks
+            .retain(|task| !self.hides_attempt(&task.task, task.attempt));
+        report
     }
 
     fn maybe_report(&mut self, name: &str) {
