Logs: tokens and outcomes of commands, verified claims, revived attempts

What the incident's records could not tell from the controllers' own logs: under which token and for which session a command went out, what was answered, what the leader had read when it acted, and that an attempt came back after it was forgotten.

At debug: each direct command with token, session and numbers of starts, stops and forgets; its outcome with the token and session that the worker has seen; answers to reports that carry commands; each verification of the claim with the revision it brought and the rest of the term; counters of direct commands, refusals, raised tokens and revived attempts. As a warning: an attempt of this leader that a worker reports although it had ended and was forgotten. `failover complete` names the token. No behaviour changes.

--- a/src/core/admission.rs
+++ b/src/core/admission.rs
@@ -128,6 +128,7 @@
             lost,
             "cluster counters"
         );
+        self.command_counts.log();
         self.log_machine_use();
         let pending_placements = self.pending_placements();
         debug!(
--- a/src/core/cluster/attempts.rs
+++ b/src/core/cluster/attempts.rs
@@ -19,7 +19,7 @@
 use kiteyard_recovery::adoption::{AdoptionDecision, KnownState, Reported, decide_adoption};
 use tracing::{debug, info};
 
-use super::{ClusterState, Slot};
+use super::{ClusterState, Slot, first_attempt};
 use crate::core::{
     job::{JobId, TaskId},
     machine::{AttemptKey, ExitReason, MachineId, Phase, Placement, Stop, TaskPhase},
@@ -78,6 +78,9 @@
             fenced = self.machines[id].fenced,
             "a worker reported a task that this leader did not start"
         );
+        if self.is_own_attempt(key) {
+            self.command_counts.record_revived(id, key, phase);
+        }
         if decision == AdoptionDecision::Replace {
             self.displace_placed_attempt(&key.0, now);
         }
@@ -137,6 +140,11 @@
         decide_adoption(known_state, reported)
     }
 
+    /// Returns whether this leader started the attempt.
+    fn is_own_attempt(&self, key: &AttemptKey) -> bool {
+        key.1 > first_attempt(self.claim)
+    }
+
     fn is_placed(&self, task: &TaskId) -> bool {
         let slots = self.jobs.get(&task.job).map(|job| &job.slots);
         let slot = slots.and_then(|slots| slots.get(task.index as usize));
--- a/src/core/cluster/mod.rs
+++ b/src/core/cluster/mod.rs
@@ -10,6 +10,7 @@
 //! then the task may still run there and must not be started elsewhere.
 
 mod attempts;
+mod command_log;
 mod leases;
 mod placement;
 mod reports;
@@ -41,12 +42,16 @@
     store::progress_key,
 };
 use attempts::DisplacedAttempts;
+use command_log::CommandCounts;
 use kiteyard_maintenance::{
     drain::{Drains, WaitReason},
     ledger::Ledger,
 };
 use kiteyard_recovery::worker_leases::WorkerLeases;
 
+/// Number of lower bits of an attempt number, which count the attempts of one claim.
+const ATTEMPT_BITS: u32 = 24;
+
 /// State of one leader, built at its failover and dropped with its claim.
 pub struct ClusterState {
     pub(super) config: Arc<Config>,
@@ -80,6 +85,7 @@
     pub(super) next_retry: Option<Duration>,
     /// Counters since this leader took over.
     pub(super) counts: Counts,
+    pub(super) command_counts: CommandCounts,
     /// Time at which the counters are logged next.
     pub(super) next_log: Duration,
     /// Unix time in milliseconds.
@@ -161,6 +167,11 @@
     pub lost: u64,
 }
 
+/// Returns the number below all attempt numbers of a claim.
+fn first_attempt(claim: u64) -> u64 {
+    claim << ATTEMPT_BITS
+}
+
 impl ClusterState {
     /// Builds the state from the stored contents that a failover read.
     pub fn new(
@@ -184,6 +195,7 @@
         cluster.load_jobs(jobs, progress);
         info!(
             claim,
+            token = cluster.token,
             jobs = cluster.jobs.len(),
             machines = cluster.machines.len(),
             "failover complete"
@@ -217,11 +229,12 @@
             leading_since: now,
             reconciler: Reconciler::new(&config, now),
             claim_verified_at: Duration::ZERO,
-            last_attempt: claim << 24,
+            last_attempt: first_attempt(claim),
             next_pass: Duration::ZERO,
             next_round: Duration::ZERO,
             next_retry: None,
             counts: Counts::default(),
+            command_counts: CommandCounts::default(),
             next_log: Duration::ZERO,
             wall_ms: 0,
             runtime_corrections: HashMap::new(),
--- a/src/core/cluster/reports.rs
+++ b/src/core/cluster/reports.rs
@@ -9,7 +9,7 @@
 
 use tracing::{debug, info};
 
-use super::ClusterState;
+use super::{ClusterState, command_log::log_answer};
 use crate::core::{
     job::TaskId,
     machine::{
@@ -71,7 +71,9 @@
             true => Vec::new(),
             false => self.commands(id, Some(seq)),
         };
-        Some((self.machines[id].token, commands))
+        let token = self.machines[id].token;
+        log_answer(id, seq, token, &commands);
+        Some((token, commands))
     }
 
     /// Ends the previous session of a worker, which begins a new one when its lease has expired.
--- a/src/core/commands.rs
+++ b/src/core/commands.rs
@@ -96,13 +96,15 @@
         let commands = self.commands(&id, None);
         let machine = self.machines.get_mut(&id)?;
         machine.direct_in_flight = true;
-        Some(DirectCommands {
+        let direct = DirectCommands {
             addr,
             token: machine.token,
             session,
             machine: id,
             commands,
-        })
+        };
+        self.command_counts.record_sent(&direct);
+        Some(direct)
     }
 
     pub fn apply_direct_reply(
@@ -115,6 +117,7 @@
             return;
         };
         machine.direct_in_flight = false;
+        self.command_counts.record_reply(direct, &reply);
         let is_unreported = machine.session == 0;
         let (executed, report) = match reply {
             DirectReply::Executed(report) => (true, report),
@@ -123,6 +126,7 @@
                 // The commands may still be executed, until the worker sees a higher token.
                 if !direct.commands.is_empty() {
                     machine.token += 1;
+                    self.command_counts.raised_tokens += 1;
                 }
                 machine.commands_unanswered = true;
                 machine.direct_retry_at = now + self.config.report_interval * 2;
--- a/src/core/election/mod.rs
+++ b/src/core/election/mod.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 use kiteyard_recovery::worker_leases::WorkerLeases;
-use tracing::info;
+use tracing::{debug, info};
 
 use super::{
     Node, Purpose, RETRY_DELAY,
@@ -331,6 +331,13 @@
             self.election.verified_at = self.election.verified_at.max(sent);
             let term_end = renewal_sent + self.config.leader_term;
             self.election.valid_until = self.election.valid_until.max(term_end);
+            debug!(
+                claim,
+                revision = self.cache.cursor,
+                after = ?(self.now() - sent),
+                valid_for = ?self.election.valid_until.saturating_sub(self.now()),
+                "claim verified"
+            );
         }
     }
 
