Fencing: tests of raised tokens, of a claim's last token and of revived attempts

A token is raised only for attempts that were started directly, once for a repeated answer; raised to the last one it stays within its claim. Under the last token no start is sent directly, starts go with answers to reports, stops are still direct, and an unanswered one raises nothing. An attempt that came back is forgotten under a higher token as well.

--- /dev/null
+++ b/tests/scheduling/fencing.rs
@@ -0,0 +1,158 @@
+//! When a worker's fencing token is raised, and what goes under its last one.
+
+use std::time::Duration;
+
+use kiteyard::core::{
+    cluster::DirectCommands,
+    fencing,
+    job::{JobId, Kind, Priority},
+    machine::{Command, DirectReply, ExitReason, ReportedTask, TaskPhase, WorkerReport},
+};
+
+use crate::cluster::{Cluster, spec};
+
+/// Claim of the leader that `Cluster` creates.
+const CLAIM: u64 = 5;
+const MACHINE: &str = "vm-1";
+
+fn last_token() -> u64 {
+    fencing::first_token(CLAIM + 1) - 1
+}
+
+/// A leader with one machine, whose token is the given one, and a job of two tasks placed there.
+fn leader_with_placed_job(token: u64) -> (Cluster, JobId) {
+    let mut c = Cluster::new(4.0);
+    c.add_machine(MACHINE);
+    let machine = c.cluster.machines.get_mut(MACHINE).expect("the machine");
+    machine.token = token;
+    let job = c.add_job(spec(1, Kind::Array, Priority::Normal, 2, 1.0));
+    c.pass();
+    let machine = c.cluster.machines.get_mut(MACHINE).expect("the machine");
+    machine.assignment.jobs.insert(job.clone());
+    (c, job)
+}
+
+fn token(c: &Cluster) -> u64 {
+    c.cluster.machines[MACHINE].token
+}
+
+fn direct(c: &mut Cluster) -> Option<DirectCommands> {
+    c.now += Duration::from_secs(1);
+    c.cluster.direct_commands(c.now).pop()
+}
+
+fn executed(c: &mut Cluster, direct: &DirectCommands) {
+    let report = c.build_report(MACHINE, 1, direct.token);
+    let reply = DirectReply::Executed(report);
+    c.cluster.apply_direct_reply(direct, reply, c.now);
+}
+
+/// Makes the worker execute the starts and report all its tasks with this phase; returns the
+/// token and the commands of the answer.
+fn report_phase(c: &mut Cluster, phase: TaskPhase) -> (u64, Vec<Command>) {
+    let attempts = c.cluster.machines[MACHINE].tasks.keys();
+    let tasks = attempts.map(|(task, attempt)| ReportedTask {
+        task: task.clone(),
+        attempt: *attempt,
+        phase,
+    });
+    c.running.insert(MACHINE.to_owned(), tasks.collect());
+    let seen = token(c);
+    let report = c.build_report(MACHINE, 1, seen);
+    c.cluster.process_report(&report, c.now).expect("in time")
+}
+
+fn count(commands: &[Command], is_counted: fn(&Command) -> bool) -> usize {
+    commands.iter().filter(|c| is_counted(c)).count()
+}
+
+fn starts(commands: &[Command]) -> usize {
+    count(commands, |c| matches!(c, Command::Start { .. }))
+}
+
+fn forgets(commands: &[Command]) -> usize {
+    count(commands, |c| matches!(c, Command::Forget { .. }))
+}
+
+const FAILED: TaskPhase = TaskPhase::Exited(ExitReason::Error);
+
+#[test]
+fn attempts_that_were_started_directly_are_forgotten_under_a_higher_token() {
+    let first = fencing::first_token(CLAIM);
+    let (mut c, _) = leader_with_placed_job(first);
+    let direct = direct(&mut c).expect("direct starts");
+    assert_eq!((direct.token, starts(&direct.commands)), (first, 2));
+    executed(&mut c, &direct);
+    let (answered, _) = report_phase(&mut c, TaskPhase::Running);
+    assert_eq!(answered, first);
+    let (answered, commands) = report_phase(&mut c, FAILED);
+    assert_eq!((answered, forgets(&commands)), (first + 1, 2));
+    // The answer may be lost; its repeat needs no token of its own.
+    let (answered, commands) = report_phase(&mut c, FAILED);
+    assert_eq!((answered, forgets(&commands)), (first + 1, 2));
+}
+
+#[test]
+fn attempts_that_were_started_with_an_answer_are_forgotten_under_the_same_token() {
+    let first = fencing::first_token(CLAIM);
+    let (mut c, _) = leader_with_placed_job(first);
+    assert_eq!(starts(&c.report(MACHINE)), 2);
+    report_phase(&mut c, TaskPhase::Running);
+    let (answered, commands) = report_phase(&mut c, FAILED);
+    assert_eq!((answered, forgets(&commands)), (first, 2));
+}
+
+#[test]
+fn a_token_that_is_raised_to_the_last_one_stays_within_its_claim() {
+    let (mut c, _) = leader_with_placed_job(last_token() - 1);
+    let direct = direct(&mut c).expect("direct starts");
+    assert_eq!(starts(&direct.commands), 2);
+    let unanswered = DirectReply::Unclear;
+    c.cluster.apply_direct_reply(&direct, unanswered, c.now);
+    assert_eq!(token(&c), last_token());
+    assert_eq!(fencing::claim_of(token(&c)), CLAIM);
+    // The starts were executed, and the worker has seen the last token.
+    report_phase(&mut c, TaskPhase::Running);
+    let (answered, commands) = report_phase(&mut c, FAILED);
+    assert_eq!((answered, forgets(&commands)), (last_token(), 2));
+}
+
+#[test]
+fn no_start_is_sent_directly_under_the_last_token() {
+    let (mut c, job) = leader_with_placed_job(last_token());
+    assert!(direct(&mut c).is_none());
+    assert_eq!(starts(&c.report(MACHINE)), 2, "with the answer to a report");
+    report_phase(&mut c, TaskPhase::Running);
+    // A stop is urgent at any token, and may stay unanswered.
+    c.cluster.remove_job(&job, c.now);
+    let stops = direct(&mut c).expect("direct stops");
+    assert_eq!((stops.token, stops.commands.len()), (last_token(), 2));
+    c.cluster
+        .apply_direct_reply(&stops, DirectReply::Unclear, c.now);
+    assert_eq!(token(&c), last_token());
+    let stopped = TaskPhase::Exited(ExitReason::Stopped { saved: false });
+    let (answered, commands) = report_phase(&mut c, stopped);
+    assert_eq!((answered, forgets(&commands)), (last_token(), 2));
+}
+
+/// Without the voiding token a copy of the start that revived it could do so again.
+#[test]
+fn a_revived_attempt_is_forgotten_under_a_higher_token() {
+    let first = fencing::first_token(CLAIM);
+    let (mut c, _) = leader_with_placed_job(first);
+    let direct = direct(&mut c).expect("direct starts");
+    executed(&mut c, &direct);
+    let (_, commands) = report_phase(&mut c, FAILED);
+    assert_eq!(forgets(&commands), 2);
+    let revived = c.running[MACHINE].clone();
+    c.running.insert(MACHINE.to_owned(), Vec::new());
+    c.report(MACHINE);
+    c.running.insert(MACHINE.to_owned(), revived);
+    let report = WorkerReport {
+        token: first + 1,
+        ..c.build_report(MACHINE, 1, first)
+    };
+    let answer = c.cluster.process_report(&report, c.now);
+    let (answered, commands) = answer.expect("in time");
+    assert_eq!((answered, forgets(&commands)), (first + 2, 2));
+}
--- a/tests/scheduling/main.rs
+++ b/tests/scheduling/main.rs
@@ -4,6 +4,7 @@
 mod attempts;
 mod cluster;
 mod dependencies;
+mod fencing;
 mod provisioning;
 mod requeue;
 mod splitting;
