Attempts: numbers stay below those of a later claim

A claim has 2^24 attempt numbers, 46 hours at 100 starts a second, and a leader counted on into those of the next claim. No number met another one as long as the state service's revision advanced once in 2^24 starts, and nothing ensured it. Now a leader takes numbers up to the newest revision that it has read under its claim, below that of any later claim; beyond it tasks wait, with a warning, until the revision advances. Tests: the boundary, and tasks that wait there and start again.

--- a/src/core/cluster/attempts.rs
+++ b/src/core/cluster/attempts.rs
@@ -19,8 +19,9 @@
 use kiteyard_recovery::adoption::{AdoptionDecision, KnownState, Reported, decide_adoption};
 use tracing::{debug, info};
 
-use super::{ClusterState, Slot, first_attempt};
+use super::{ClusterState, Slot};
 use crate::core::{
+    attempt_numbers,
     fencing::StartCopies,
     job::{JobId, TaskId},
     machine::{AttemptKey, ExitReason, MachineId, Phase, Placement, Stop, TaskPhase},
@@ -145,7 +146,7 @@
 
     /// Returns whether this leader started the attempt.
     fn is_own_attempt(&self, key: &AttemptKey) -> bool {
-        key.1 > first_attempt(self.claim)
+        key.1 > attempt_numbers::first_of(self.claim)
     }
 
     fn is_placed(&self, task: &TaskId) -> bool {
--- a/src/core/cluster/mod.rs
+++ b/src/core/cluster/mod.rs
@@ -21,12 +21,13 @@
     time::Duration,
 };
 
-use tracing::info;
+use tracing::{info, warn};
 
 pub use super::active_job::{Job, Slot};
 use super::{
     admission::StartRate,
     assignment_index::{AssignmentIndex, ShardRecord},
+    attempt_numbers::AttemptNumbers,
     config::Config,
     drain::DrainProgress,
     fencing,
@@ -50,9 +51,6 @@
 };
 use kiteyard_recovery::worker_leases::WorkerLeases;
 
-/// Number of lower bits of an attempt number, which count the attempts of one claim.
-const ATTEMPT_BITS: u32 = 24;
-
 /// State of one leader, built at its failover and dropped with its claim.
 pub struct ClusterState {
     pub(super) config: Arc<Config>,
@@ -76,8 +74,9 @@
     pub(super) worker_leases: WorkerLeases,
     /// Latest time at which the claim is known to have been valid.
     pub claim_verified_at: Duration,
-    /// Last attempt number given to a start, see `next_attempt`.
-    last_attempt: u64,
+    pub attempt_numbers: AttemptNumbers,
+    /// Whether the lack of attempt numbers was logged.
+    attempt_numbers_ran_out: bool,
     /// Earliest time of the next scheduling pass.
     pub(super) next_pass: Duration,
     /// Earliest time of the next round of periodic work.
@@ -168,11 +167,6 @@
     pub lost: u64,
 }
 
-/// Returns the number below all attempt numbers of a claim.
-fn first_attempt(claim: u64) -> u64 {
-    claim << ATTEMPT_BITS
-}
-
 impl ClusterState {
     /// Builds the state from the stored contents that a failover read.
     pub fn new(
@@ -230,7 +224,8 @@
             leading_since: now,
             reconciler: Reconciler::new(&config, now),
             claim_verified_at: Duration::ZERO,
-            last_attempt: first_attempt(claim),
+            attempt_numbers: AttemptNumbers::new(claim),
+            attempt_numbers_ran_out: false,
             next_pass: Duration::ZERO,
             next_round: Duration::ZERO,
             next_retry: None,
@@ -306,10 +301,23 @@
         self.machines.get_mut(id).expect("just inserted")
     }
 
-    /// Returns an attempt number that no other start of any leader has.
-    pub fn next_attempt(&mut self) -> u64 {
-        self.last_attempt += 1;
-        self.last_attempt
+    /// Returns an attempt number that no other start of any leader has, or `None` if such numbers
+    /// have run out until the state service's revision advances.
+    pub fn next_attempt(&mut self) -> Option<u64> {
+        let number = self.attempt_numbers.take();
+        if number.is_none() && !self.attempt_numbers_ran_out {
+            self.attempt_numbers_ran_out = true;
+            warn!("attempt numbers have run out: starts wait for a change in the state service");
+        }
+        number
+    }
+
+    /// Records a revision that was read from the state service while the claim was valid.
+    pub fn record_revision(&mut self, revision: u64) {
+        if self.attempt_numbers.record_revision(revision) {
+            self.attempt_numbers_ran_out = false;
+            self.requeue();
+        }
     }
 
     /// Adds an active job with its stored results, unless it is already present.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -4,6 +4,7 @@
 pub mod active_job;
 pub mod admission;
 pub mod assignment_index;
+pub mod attempt_numbers;
 mod calls;
 mod capacity_snapshot;
 pub mod cluster;
@@ -303,6 +304,7 @@
         let now = self.now();
         let cluster = self.cluster.as_mut()?;
         cluster.claim_verified_at = verified_at;
+        cluster.record_revision(self.cache.cursor);
         cluster.tick(now);
         let needs_verification = cluster.needs_claim_verification(now);
         run_due_pass(cluster, now);
--- a/src/core/scheduling.rs
+++ b/src/core/scheduling.rs
@@ -278,7 +278,9 @@
                 if self.exceeds_limit(snapshot, spec, 1, now) {
                     return;
                 }
-                let attempt = self.next_attempt();
+                let Some(attempt) = self.next_attempt() else {
+                    return;
+                };
                 let task = TaskId {
                     job: id.clone(),
                     index,
@@ -310,7 +312,9 @@
             };
             if let Some(candidate) = self.best_fit(snapshot, spec, now) {
                 let machine = snapshot.machines[candidate].id.clone();
-                let attempt = self.next_attempt();
+                let Some(attempt) = self.next_attempt() else {
+                    return false;
+                };
                 self.place_task(snapshot, candidate, &machine, task, attempt, now);
                 continue;
             }
--- a/src/core/scheduling/gangs.rs
+++ b/src/core/scheduling/gangs.rs
@@ -40,11 +40,13 @@
             .collect();
         for zones in snapshot.gang_zones(spec) {
             if let Some(candidates) = self.fit_gang(snapshot, spec, &tasks, &zones, now) {
+                let Some(attempt) = self.next_attempt() else {
+                    return false;
+                };
                 let job = self.jobs.get_mut(id).expect("active job");
                 job.fetches_between_attempts = false;
                 job.nominations.clear();
                 self.refresh_reservations(snapshot, id);
-                let attempt = self.next_attempt();
                 for (index, candidate) in tasks.iter().zip(candidates) {
                     let machine = snapshot.machines[candidate].id.clone();
                     let task = TaskId {
--- a/tests/scheduling/fencing.rs
+++ b/tests/scheduling/fencing.rs
@@ -1,8 +1,10 @@
-//! When a worker's fencing token is raised, and what goes under its last one.
+//! When a worker's fencing token is raised, what goes under its last one, and the numbers of
+//! attempts.
 
 use std::time::Duration;
 
 use kiteyard::core::{
+    attempt_numbers::{self, AttemptNumbers},
     cluster::DirectCommands,
     fencing,
     job::{JobId, Kind, Priority},
@@ -156,3 +158,33 @@
     let (answered, commands) = answer.expect("in time");
     assert_eq!((answered, forgets(&commands)), (first + 2, 2));
 }
+
+#[test]
+fn attempt_numbers_stay_below_those_of_a_later_claim() {
+    let mut numbers = AttemptNumbers::new(CLAIM);
+    let own: Vec<u64> = std::iter::from_fn(|| numbers.take()).collect();
+    let below_next = attempt_numbers::first_of(CLAIM + 1) - 1;
+    assert_eq!(own.first(), Some(&(attempt_numbers::first_of(CLAIM) + 1)));
+    assert_eq!(own.last(), Some(&below_next));
+    assert!(!numbers.record_revision(CLAIM));
+    assert_eq!(numbers.take(), None);
+    // A later claim is above the revision that this leader has read.
+    assert!(numbers.record_revision(CLAIM + 1));
+    assert_eq!(numbers.take(), Some(below_next + 1));
+    assert!(numbers.take() < Some(attempt_numbers::first_of(CLAIM + 2)));
+}
+
+#[test]
+fn tasks_wait_and_start_again_when_attempt_numbers_have_run_out() {
+    for kind in [Kind::Array, Kind::Gang] {
+        let mut c = Cluster::new(4.0);
+        c.add_machine(MACHINE);
+        while c.cluster.attempt_numbers.take().is_some() {}
+        let job = c.add_job(spec(1, kind, Priority::Normal, 2, 1.0));
+        c.pass();
+        assert!(c.machines_of(&job).is_empty(), "{kind:?}");
+        c.cluster.record_revision(CLAIM + 1);
+        c.pass();
+        assert_eq!(c.machines_of(&job).len(), 2, "{kind:?}");
+    }
+}
--- a/tests/scheduling/main.rs
+++ b/tests/scheduling/main.rs
@@ -867,7 +867,7 @@
                 job: job.clone(),
                 index: index as u32,
             };
-            let attempt = c.cluster.next_attempt();
+            let attempt = c.cluster.next_attempt().expect("an attempt number");
             c.cluster.record_placement(id, task, attempt, c.now);
         }
     }
