Commands: the outcome of direct commands in four short functions

No behaviour changes: an answer, an answer that refuses, and no answer each have a function, and what an answer says of the starts stands with the machine.

--- a/src/core/commands.rs
+++ b/src/core/commands.rs
@@ -7,8 +7,8 @@
     fencing,
     job::{Kind, TaskId},
     machine::{
-        Command, DirectReply, ExitReason, MAX_COMMANDS_PER_ANSWER, MachineId, MachineState, Phase,
-        Placement, Stop, TaskPhase, WorkerReport,
+        Command, DirectReply, ExitReason, MAX_COMMANDS_PER_ANSWER, Machine, MachineId,
+        MachineState, Phase, Placement, Stop, TaskPhase, WorkerReport,
     },
 };
 use tracing::{debug, warn};
@@ -27,6 +27,25 @@
     ForgottenAttempts,
 }
 
+impl Machine {
+    /// Records that direct commands under this token were answered: the report in the answer lists
+    /// the tasks that they started.
+    fn end_direct_starts(&mut self, token: u64, executed: bool) {
+        for placement in self.tasks.values_mut() {
+            let Phase::Sent { seq, direct_token } = &mut placement.phase else {
+                continue;
+            };
+            if *direct_token != Some(token) {
+                continue;
+            }
+            *direct_token = None;
+            if !executed && *seq == 0 {
+                placement.phase = Phase::Decided;
+            }
+        }
+    }
+}
+
 impl ClusterState {
     /// Returns commands that can't wait for the next report. A worker that does not know this
     /// leader's token yet is sent it at once, and its reply reveals its tasks.
@@ -117,6 +136,7 @@
         Some(direct)
     }
 
+    /// Applies the outcome of direct commands.
     pub fn apply_direct_reply(
         &mut self,
         direct: &DirectCommands,
@@ -128,51 +148,54 @@
         };
         machine.direct_in_flight = false;
         self.command_counts.record_reply(direct, &reply);
-        let is_unreported = machine.session == 0;
-        let (executed, report) = match reply {
-            DirectReply::Executed(report) => (true, report),
-            DirectReply::Refused(report) => (false, report),
-            DirectReply::Unclear => {
-                machine.commands_unanswered = true;
-                machine.direct_retry_at = now + self.config.report_interval * 2;
-                // The commands may still be executed, until the worker sees a higher token.
-                if !direct.commands.is_empty() {
-                    self.raise_token(&direct.machine, RaiseReason::UnansweredCommands);
-                }
-                return;
+        match reply {
+            DirectReply::Executed(report) => self.direct_answered(direct, &report, true, now),
+            DirectReply::Refused(report) => {
+                machine.direct_retry_at = now + self.config.report_interval;
+                self.direct_answered(direct, &report, false, now);
             }
-        };
-        if !executed {
-            machine.direct_retry_at = now + self.config.report_interval;
+            DirectReply::Unclear => self.direct_unanswered(direct, now),
         }
-        if is_unreported {
+    }
+
+    fn direct_unanswered(&mut self, direct: &DirectCommands, now: Duration) {
+        let machine = self
+            .machines
+            .get_mut(&direct.machine)
+            .expect("known machine");
+        machine.commands_unanswered = true;
+        machine.direct_retry_at = now + self.config.report_interval * 2;
+        // The commands may still be executed, until the worker sees a higher token.
+        if !direct.commands.is_empty() {
+            self.raise_token(&direct.machine, RaiseReason::UnansweredCommands);
+        }
+    }
+
+    /// Applies the report in the answer to direct commands.
+    fn direct_answered(
+        &mut self,
+        direct: &DirectCommands,
+        report: &WorkerReport,
+        executed: bool,
+        now: Duration,
+    ) {
+        let id = &direct.machine;
+        let machine = self.machines.get_mut(id).expect("known machine");
+        if machine.session == 0 {
             // The worker has another session or leader, but its current address is known now.
             machine.last_known_worker = Some((report.addr, report.session));
             if !executed || report.session != direct.session {
                 return;
             }
-            self.record_direct_heartbeat(&direct.machine, &report, now);
+            self.record_direct_heartbeat(id, report, now);
         }
-        let Some(machine) = self.machines.get_mut(&direct.machine) else {
+        let Some(machine) = self.machines.get_mut(id) else {
             return;
         };
         if machine.session != direct.session || report.session != machine.session {
             return;
         }
-        for placement in machine.tasks.values_mut() {
-            if let Phase::Sent {
-                seq,
-                direct_token: sent,
-            } = &mut placement.phase
-                && *sent == Some(direct.token)
-            {
-                // The command has ended: the report lists the tasks that it started.
-                *sent = None;
-                if !executed && *seq == 0 {
-                    placement.phase = Phase::Decided;
-                }
-            }
-        }
+        machine.end_direct_starts(direct.token, executed);
         if report.seq <= machine.content_seq || fencing::claim_of(report.token) > self.claim {
             return;
         }
@@ -182,11 +205,10 @@
         if report.token >= self.token && !machine.fenced {
             machine.fenced = true;
             machine.unresolved = false;
-            self.worker_leases.record_token_seen(&direct.machine, now);
+            self.worker_leases.record_token_seen(id, now);
             self.request_pass();
         }
-        let id = direct.machine.clone();
-        self.apply_report(&id, &report, false, now);
+        self.apply_report(id, report, false, now);
         self.requeue();
     }
 
