--- a/tests/scheduling/fencing.rs
+++ b/tests/scheduling/fencing.rs
@@ -81,17 +81,44 @@
 #[test]
 fn attempts_that_were_started_directly_are_forgotten_under_a_higher_token() {
     let first = fencing::first_token(CLAIM);
-    let (mut c, _) = leader_with_placed_job(first);
+    for reason in [
+        ExitReason::Error,
+        ExitReason::Stopped { saved: true },
+        ExitReason::Stopped { saved: false },
+        ExitReason::Peers,
+        ExitReason::Incomplete,
+        ExitReason::NoRoom,
+        ExitReason::Busy,
+        ExitReason::Unknown,
+    ] {
+        let (mut c, _) = leader_with_placed_job(first);
+        let direct = direct(&mut c).expect("direct starts");
+        assert_eq!((direct.token, starts(&direct.commands)), (first, 2));
+        executed(&mut c, &direct);
+        let (answered, _) = report_phase(&mut c, TaskPhase::Running);
+        assert_eq!(answered, first);
+        let exited = TaskPhase::Exited(reason);
+        let (answered, commands) = report_phase(&mut c, exited);
+        assert_eq!((answered, forgets(&commands)), (first + 1, 2), "{reason:?}");
+        // The answer may be lost; its repeat needs no token of its own.
+        let (answered, commands) = report_phase(&mut c, exited);
+        assert_eq!((answered, forgets(&commands)), (first + 1, 2), "{reason:?}");
+    }
+}
+
+/// The job may end before its tasks do, or be cancelled.
+#[test]
+fn attempts_of_an_ended_job_are_forgotten_under_a_higher_token() {
+    let first = fencing::first_token(CLAIM);
+    let (mut c, job) = leader_with_placed_job(first);
     let direct = direct(&mut c).expect("direct starts");
-    assert_eq!((direct.token, starts(&direct.commands)), (first, 2));
     executed(&mut c, &direct);
-    let (answered, _) = report_phase(&mut c, TaskPhase::Running);
-    assert_eq!(answered, first);
-    let (answered, commands) = report_phase(&mut c, FAILED);
-    assert_eq!((answered, forgets(&commands)), (first + 1, 2));
-    // The answer may be lost; its repeat needs no token of its own.
-    let (answered, commands) = report_phase(&mut c, FAILED);
-    assert_eq!((answered, forgets(&commands)), (first + 1, 2));
+    report_phase(&mut c, TaskPhase::Running);
+    c.cluster.remove_job(&job, c.now);
+    for reason in [ExitReason::Stopped { saved: false }, ExitReason::Done] {
+        let (answered, commands) = report_phase(&mut c, TaskPhase::Exited(reason));
+        assert_eq!((answered, forgets(&commands)), (first + 1, 2), "{reason:?}");
+    }
 }
 
 #[test]
