--- a/src/core/attempt_numbers.rs
+++ b/src/core/attempt_numbers.rs
@@ -20,6 +20,7 @@
 }
 
 impl AttemptNumbers {
+    /// Numbers of the leader that holds this claim.
     pub fn new(claim: u64) -> Self {
         Self {
             last: first_of(claim),
--- a/src/core/cluster/command_log.rs
+++ b/src/core/cluster/command_log.rs
@@ -44,6 +44,7 @@
 }
 
 impl CommandCounts {
+    /// Counts and logs direct commands as they are sent.
     pub fn record_sent(&mut self, direct: &DirectCommands) {
         self.sent += 1;
         let CommandNumbers {
@@ -62,6 +63,7 @@
         );
     }
 
+    /// Counts and logs the outcome of direct commands.
     pub fn record_reply(&mut self, direct: &DirectCommands, reply: &DirectReply) {
         let (outcome, report) = match reply {
             DirectReply::Executed(report) => ("executed", Some(report)),
@@ -97,6 +99,7 @@
         );
     }
 
+    /// Logs all counters.
     pub fn log(&self) {
         let Self {
             sent,
--- a/src/core/cluster/mod.rs
+++ b/src/core/cluster/mod.rs
@@ -74,6 +74,7 @@
     pub(super) worker_leases: WorkerLeases,
     /// Latest time at which the claim is known to have been valid.
     pub claim_verified_at: Duration,
+    /// Numbers for new attempts, see `next_attempt`.
     pub attempt_numbers: AttemptNumbers,
     /// Whether the lack of attempt numbers was logged.
     attempt_numbers_ran_out: bool,
@@ -85,6 +86,7 @@
     pub(super) next_retry: Option<Duration>,
     /// Counters since this leader took over.
     pub(super) counts: Counts,
+    /// Counters of direct commands.
     pub(super) command_counts: CommandCounts,
     /// Time at which the counters are logged next.
     pub(super) next_log: Duration,
--- a/src/core/fencing.rs
+++ b/src/core/fencing.rs
@@ -55,10 +55,12 @@
         }
     }
 
+    /// Records that the answer to this report carries the start.
     pub fn record_answer(&mut self, report_seq: u64) {
         self.answered_report = report_seq;
     }
 
+    /// Records that the start is sent directly under this token.
     pub fn record_direct(&mut self, token: u64) {
         self.direct_token = self.direct_token.max(Some(token));
     }
