--- a/src/core/cluster/command_log.rs
+++ b/src/core/cluster/command_log.rs
@@ -67,14 +67,15 @@
     pub fn record_reply(&mut self, direct: &DirectCommands, reply: &DirectReply) {
         let (outcome, report) = match reply {
             DirectReply::Executed(report) => ("executed", Some(report)),
-            DirectReply::Refused(report) => ("refused", Some(report)),
-            DirectReply::Unclear => ("unanswered", None),
+            DirectReply::Refused(report) => {
+                self.refused += 1;
+                ("refused", Some(report))
+            }
+            DirectReply::Unclear => {
+                self.unanswered += 1;
+                ("unanswered", None)
+            }
         };
-        match reply {
-            DirectReply::Executed(_) => {}
-            DirectReply::Refused(_) => self.refused += 1,
-            DirectReply::Unclear => self.unanswered += 1,
-        }
         debug!(
             machine = %direct.machine,
             token = direct.token,
--- a/tests/scheduling/fencing.rs
+++ b/tests/scheduling/fencing.rs
@@ -43,10 +43,13 @@
     c.cluster.direct_commands(c.now).pop()
 }
 
-fn executed(c: &mut Cluster, direct: &DirectCommands) {
+/// Sends direct starts, which the worker executes and answers.
+fn start_directly(c: &mut Cluster) -> DirectCommands {
+    let direct = direct(c).expect("direct starts");
     let report = c.build_report(MACHINE, 1, direct.token);
     let reply = DirectReply::Executed(report);
-    c.cluster.apply_direct_reply(direct, reply, c.now);
+    c.cluster.apply_direct_reply(&direct, reply, c.now);
+    direct
 }
 
 /// Makes the worker execute the starts and report all its tasks with this phase; returns the
@@ -92,9 +95,8 @@
         ExitReason::Unknown,
     ] {
         let (mut c, _) = leader_with_placed_job(first);
-        let direct = direct(&mut c).expect("direct starts");
+        let direct = start_directly(&mut c);
         assert_eq!((direct.token, starts(&direct.commands)), (first, 2));
-        executed(&mut c, &direct);
         let (answered, _) = report_phase(&mut c, TaskPhase::Running);
         assert_eq!(answered, first);
         let exited = TaskPhase::Exited(reason);
@@ -111,8 +113,7 @@
 fn attempts_of_an_ended_job_are_forgotten_under_a_higher_token() {
     let first = fencing::first_token(CLAIM);
     let (mut c, job) = leader_with_placed_job(first);
-    let direct = direct(&mut c).expect("direct starts");
-    executed(&mut c, &direct);
+    start_directly(&mut c);
     report_phase(&mut c, TaskPhase::Running);
     c.cluster.remove_job(&job, c.now);
     for reason in [ExitReason::Stopped { saved: false }, ExitReason::Done] {
@@ -169,8 +170,7 @@
 fn a_revived_attempt_is_forgotten_under_a_higher_token() {
     let first = fencing::first_token(CLAIM);
     let (mut c, _) = leader_with_placed_job(first);
-    let direct = direct(&mut c).expect("direct starts");
-    executed(&mut c, &direct);
+    start_directly(&mut c);
     let (_, commands) = report_phase(&mut c, FAILED);
     assert_eq!(forgets(&commands), 2);
     let revived = c.running[MACHINE].clone();
