--- a/tests/world/faults.rs
+++ b/tests/world/faults.rs
@@ -91,6 +91,10 @@
     HeldReports,
     /// Direct commands are executed 2 to 16 s late and not answered.
     LateCommands,
+    /// Half of the direct commands that were executed and answered arrive once more.
+    RepeatedCommands,
+    /// All tasks fail on a fifth of the machines.
+    MachinesFail,
     /// Users cancel most running jobs, and machines that hold their tasks hang for the given time.
     CancelAndHang,
     /// Machines boot within two seconds, and the leader crashes as they get work.
@@ -198,6 +202,12 @@
             Fault::ReplayedReports => self.keep_reports(until),
             Fault::HeldReports => self.hold_reports(until),
             Fault::LateCommands => self.delay_commands(until),
+            Fault::RepeatedCommands => self.repeat_commands(until),
+            Fault::MachinesFail => {
+                for worker in self.workers.values_mut().step_by(5) {
+                    worker.faulty_until = until;
+                }
+            }
             Fault::CancelAndHang => self.cancel_and_hang(duration),
             Fault::NewMachines => self.boot_new_machines(until),
             Fault::AllDown => self.stop_all(duration),
--- a/tests/world/main.rs
+++ b/tests/world/main.rs
@@ -21,6 +21,7 @@
 mod observer;
 mod old_reports;
 mod pipelines;
+mod repeated_commands;
 mod rolling;
 mod rollout;
 mod scarcity;
--- a/tests/world/observer.rs
+++ b/tests/world/observer.rs
@@ -36,6 +36,8 @@
     pipelines: HashMap<JobId, (u32, Vec<JobId>)>,
     violations: Vec<String>,
     pub starts: u64,
+    /// Starts that machines executed after their job was reported as cancelled.
+    pub starts_after_cancellation: u64,
     pub finished: u64,
     cancel_within: Duration,
     limits: HashMap<String, f64>,
@@ -101,6 +103,17 @@
         at.is_some_and(|at| now > at + self.cancel_within)
     }
 
+    /// Whether a user was told that the job is cancelled.
+    pub fn is_cancelled(&self, id: &JobId) -> bool {
+        let report = self.reports.get(id);
+        report.is_some_and(|report| report.cancelled_at.is_some())
+    }
+
+    /// Counts a start that a machine executes after its job was reported as cancelled.
+    pub fn record_start_command(&mut self, id: &JobId) {
+        self.starts_after_cancellation += u64::from(self.is_cancelled(id));
+    }
+
     /// Registers a job that may depend on others or be a dependency.
     pub fn register_pipeline_job(&mut self, spec: &JobSpec) {
         let entry = (spec.tasks, spec.needs.clone());
--- a/tests/world/sim/defects.rs
+++ b/tests/world/sim/defects.rs
@@ -49,6 +49,8 @@
     SecondAttemptsUnreported,
     /// A worker executes commands under any token.
     AcceptsOldTokens,
+    /// A worker executes commands under any token of the newest claim that it has seen.
+    AcceptsEarlierTokensOfLeader,
     /// A machine that hung does not execute stop commands.
     HungMachinesIgnoreStop,
     /// A follower answers reports as if it led.
